--- a/crates/cli/src/document_file.rs
+++ b/crates/cli/src/document_file.rs
@@ -58,6 +58,7 @@
         Some(Self(ServiceSpec {
             version: version?.into(),
             candidate: candidate.map(|entry| entry.0),
+            ..ServiceSpec::default()
         }))
     }
 }
@@ -102,6 +103,7 @@
             priority: priority
                 .map_or_else(CallPriority::default, |word: PriorityWord| word.0),
             internal: internal.unwrap_or(false),
+            ..RouteSpec::default()
         }))
     }
 }
--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -146,6 +146,7 @@
     for (at, bound) in sockets.into_iter().enumerate() {
         let instance = Arc::clone(&members[at].instance);
         let settings = ControlSettings {
+            joining: None,
             data_folder: folder.join(&*instance),
             instance,
             failure_domain: plan.failure_domain(at),
--- a/crates/cli/src/local_fleet/deployment.rs
+++ b/crates/cli/src/local_fleet/deployment.rs
@@ -131,6 +131,7 @@
             let spec = ServiceSpec {
                 version: "v1".into(),
                 candidate: None,
+                ..ServiceSpec::default()
             };
             services.insert(service.name.into(), spec);
         }
@@ -141,6 +142,7 @@
                 service: route.service.into(),
                 priority: route.priority,
                 internal: route.internal,
+                ..RouteSpec::default()
             });
         }
         FleetDocument {
--- a/crates/cli/tests/calls/fleet_calls.rs
+++ b/crates/cli/tests/calls/fleet_calls.rs
@@ -107,6 +107,7 @@
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
+        ..ServiceSpec::default()
     };
     document.services.insert("tested".into(), spec);
     document.routes.push(RouteSpec {
@@ -114,6 +115,7 @@
         service: "tested".into(),
         priority: CallPriority::Normal,
         internal: false,
+        ..RouteSpec::default()
     });
     // How long a call may wait is no matter of these tests, and on a busy
     // machine a second is soon gone.
--- a/crates/control/benches/agreement.rs
+++ b/crates/control/benches/agreement.rs
@@ -94,6 +94,7 @@
     let mut daemons = Vec::new();
     for (bound, member) in sockets.into_iter().zip(&addresses) {
         let settings = ControlSettings {
+            joining: None,
             instance: Arc::clone(&member.instance),
             failure_domain: "bench".into(),
             listen: loopback(),
@@ -180,6 +181,7 @@
         let spec = ServiceSpec {
             version: "v1".into(),
             candidate: None,
+            ..ServiceSpec::default()
         };
         specs.insert(Arc::clone(&name), spec);
         for route in 0..3 {
@@ -188,6 +190,7 @@
                 service: Arc::clone(&name),
                 priority: CallPriority::Normal,
                 internal: false,
+                ..RouteSpec::default()
             });
         }
     }
--- a/crates/control/benches/fanout_cost/fleet_model.rs
+++ b/crates/control/benches/fanout_cost/fleet_model.rs
@@ -55,6 +55,7 @@
         let spec = ServiceSpec {
             version: "v1".into(),
             candidate: None,
+            ..ServiceSpec::default()
         };
         document.services.insert(Arc::clone(&name), spec);
         for route in 0..ROUTES_EACH {
@@ -63,6 +64,7 @@
                 service: Arc::clone(&name),
                 priority: CallPriority::Normal,
                 internal: false,
+                ..RouteSpec::default()
             });
         }
     }
--- a/crates/control/src/agreed_task.rs
+++ b/crates/control/src/agreed_task.rs
@@ -8,7 +8,6 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use log::info;
 use log::warn;
@@ -32,7 +31,9 @@
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::control_state::AcceptedChange;
+use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::rollout::rollout_record::RolloutRecord;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::messages::LeaderAnswer;
 use cowslip_wire::peer_client::PeerClient;
 
@@ -62,13 +63,18 @@
 #[derive(Debug)]
 pub enum AgreedMessage {
     /// An operator's change.
-    Change(ChangeEntry, oneshot::Sender<LeaderAnswer<ChangeOutcome>>),
+    Change(
+        Box<ChangeEntry>,
+        oneshot::Sender<LeaderAnswer<ChangeOutcome>>,
+    ),
     /// Accepted changes, the newest last.
     History(oneshot::Sender<LeaderAnswer<Vec<AcceptedChange>>>),
     /// Moves of backend server versions, those that are over first.
     Rollouts(oneshot::Sender<LeaderAnswer<Vec<RolloutRecord>>>),
     /// An operator's change of members.
     Member(MemberChange, oneshot::Sender<LeaderAnswer<MemberAnswer>>),
+    /// The configuration in force and the answer to an earlier order.
+    Current(Arc<str>, oneshot::Sender<LeaderAnswer<CurrentRevision>>),
     /// The members.
     Members(oneshot::Sender<LeaderAnswer<Vec<MemberLine>>>),
     /// Messages from other instances.
@@ -77,6 +83,17 @@
     HandOver(oneshot::Sender<()>),
 }
 
+/// What is in force, as operators number it.
+#[derive(Clone, Debug)]
+pub struct CurrentRevision {
+    /// The operators' number; 0 before the first.
+    pub number: u64,
+    /// The configuration.
+    pub snapshot: ConfigSnapshot,
+    /// What the order that was asked about came to, if it was decided.
+    pub answer: Option<ChangeOutcome>,
+}
+
 /// The running task.
 #[derive(Clone)]
 pub struct AgreedHandle {
@@ -100,7 +117,7 @@
 struct AgreedTask {
     instance: Arc<str>,
     member: AgreedMember,
-    started: Instant,
+    started: BootInstant,
     store: StoreHandle,
     peers: PeerSenders,
     view: watch::Sender<LeaderView>,
@@ -143,7 +160,13 @@
     let seed = rand::rng().random();
     let founders = settings.founders();
     let zero = Duration::ZERO;
-    let member = AgreementMember::open(identity, founders, saved, zero, seed);
+    let mut member = AgreementMember::open(identity, founders, saved, zero, seed);
+    if let Some(joining) = settings.joining {
+        member.see_to_voters(joining.voters);
+        if !joining.first_start {
+            member.forbid_founding();
+        }
+    }
     let member = AgreedMember::new(member);
     spawn_member(settings, member, Box::new(store), fanout, metrics)
 }
@@ -161,7 +184,7 @@
     let task = AgreedTask {
         instance: Arc::clone(&settings.instance),
         member,
-        started: Instant::now(),
+        started: BootInstant::now(),
         store: store_thread::spawn(store, reports)?,
         peers: PeerSenders::new(PeerClient::new(settings.system_key.clone())),
         view,
@@ -222,7 +245,7 @@
             AgreedMessage::Change(entry, reply) => {
                 let ticket = self.ticket();
                 self.changes.insert(ticket, reply);
-                events.push(AgreedEvent::Change(ticket, entry));
+                events.push(AgreedEvent::Change(ticket, *entry));
             }
             AgreedMessage::Member(change, reply) => {
                 let ticket = self.ticket();
@@ -237,6 +260,15 @@
                 let rollouts = self.member.state().rollouts().all();
                 let _ = reply.send(self.leading(|| rollouts.cloned().collect()));
             }
+            AgreedMessage::Current(request_id, reply) => {
+                let state = self.member.state();
+                let current = || CurrentRevision {
+                    number: state.revision(),
+                    snapshot: state.snapshot().clone(),
+                    answer: state.answer(&request_id).cloned(),
+                };
+                let _ = reply.send(self.leading(current));
+            }
             AgreedMessage::Members(reply) => {
                 let now = self.started.elapsed();
                 let _ = reply.send(self.leading(|| self.member.member_lines(now)));
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -16,6 +16,7 @@
 
 use cowslip_wire::admin_page::AdminPage;
 use cowslip_wire::admin_page::ADMIN_CONNECTIONS_MAX;
+use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
 use cowslip_wire::peer_client::PeerClient;
 
@@ -27,6 +28,9 @@
 use crate::control_settings::ControlSettings;
 use crate::fanout_task;
 use crate::fanout_task::FanoutMessage;
+use crate::operator_desk::OperatorDesk;
+use crate::pin_task;
+use crate::rollout_desk::RolloutDesk;
 use crate::rollout_task;
 use crate::roster_task;
 use crate::source_metrics::SourceMetrics;
@@ -87,6 +91,16 @@
     pub fn spawn(
         settings: &ControlSettings,
         sockets: ControlSockets,
+    ) -> Result<Self, ControlError> {
+        Self::spawn_behind(settings, sockets, |_, handler| handler)
+    }
+
+    /// The same, with a further interface for operators in front of the
+    /// listener's own handler.
+    pub fn spawn_behind(
+        settings: &ControlSettings,
+        sockets: ControlSockets,
+        front: impl FnOnce(OperatorDesk, Rc<dyn HttpHandler>) -> Rc<dyn HttpHandler>,
     ) -> Result<Self, ControlError> {
         let mut registry = Registry::default();
         let fanout = fanout_task::spawn(
@@ -120,6 +134,12 @@
             PeerClient::new(settings.system_key.clone()),
         );
         actix_rt::spawn(roster_task::run(agreed.clone(), fanout.clone()));
+        actix_rt::spawn(pin_task::run(agreed.clone(), fanout.clone()));
+        let desk = OperatorDesk::new(RolloutDesk {
+            agreed: agreed.clone(),
+            fanout: fanout.clone(),
+            rollouts: rollouts.clone(),
+        });
         let handler = ControlHandler::new(
             settings.operator_key.clone(),
             settings.system_key.clone(),
@@ -127,7 +147,8 @@
             fanout,
             rollouts,
         );
-        let main = HttpListener::spawn(sockets.main, CONNECTIONS_MAX, Rc::new(handler))?;
+        let handler = front(desk, Rc::new(handler));
+        let main = HttpListener::spawn(sockets.main, CONNECTIONS_MAX, handler)?;
         let page = AdminPage::new(Rc::new(registry), Rc::new(Cell::new(true)));
         let admin =
             HttpListener::spawn(sockets.admin, ADMIN_CONNECTIONS_MAX, Rc::new(page))?;
--- a/crates/control/src/control_handler.rs
+++ b/crates/control/src/control_handler.rs
@@ -174,7 +174,7 @@
         if let Err(refused) = self.rollouts.admit(&mut entry).await {
             return Ok(LeaderAnswer::Here(refused));
         }
-        self.agreed(|reply| AgreedMessage::Change(entry, reply))
+        self.agreed(|reply| AgreedMessage::Change(Box::new(entry), reply))
             .await
     }
 
--- a/crates/control/src/control_settings.rs
+++ b/crates/control/src/control_settings.rs
@@ -27,15 +27,30 @@
     pub admin_listen: SocketAddr,
     /// Folder for the change log; it must exist or be creatable.
     pub data_folder: PathBuf,
-    /// All control instances, the same list on each. Those that vote found
-    /// the log; who votes afterwards stands in the log itself.
+    /// All control instances, the same list on each, or the few of `seeds`.
+    /// Those that vote found the log; who votes afterwards stands in the log
+    /// itself.
     pub members: Vec<MemberAddress>,
+    /// Set where the fleet sees to its voters by itself.
+    pub joining: Option<JoinSettings>,
     /// Key of the operators' interface.
     pub operator_key: AccessKey,
     /// Key between the system's own processes.
     pub system_key: AccessKey,
 }
 
+/// How instances that know only a few seeds become a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JoinSettings {
+    /// True where the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Voters wanted: enough that `losses` of them may be away.
+    pub voters: usize,
+}
+
+/// Most losses that can be asked for; seven voters bear them.
+const LOSSES_MAX: usize = 3;
+
 /// A control instance and where it listens.
 #[derive(Clone, Debug)]
 pub struct MemberAddress {
@@ -55,12 +70,14 @@
         let listen = reader.required("listen", ADDRESS);
         let admin_listen = reader.required("admin_listen", ADDRESS);
         let data_folder = reader.required("data_folder", "a folder for the change log");
-        let members: Vec<MemberAddress> =
+        let mut members: Vec<MemberAddress> =
             reader.groups("members", "an instance and its address");
+        let joining = joining(reader, &mut members);
         let operator_key = reader.required("operator_key", KEY);
         let system_key = reader.required("system_key", KEY);
         let instance: Arc<str> = instance?.into();
-        if !members.iter().any(|member| member.instance == instance) {
+        let listed = members.iter().any(|member| member.instance == instance);
+        if !listed && joining.is_none() {
             let problem = format!("does not name this instance, {instance:?}; add it");
             reader.fault("members", problem);
         }
@@ -74,12 +91,48 @@
             admin_listen: admin_listen?,
             data_folder: data_folder?,
             members,
+            joining,
             operator_key: operator_key?,
             system_key: system_key?,
         })
     }
 }
 
+/// Reads `seeds` and what goes with them. Seeds are named by their addresses,
+/// since nothing else is known of them; an instance that is one of them must
+/// be named so too.
+fn joining(
+    reader: &mut SettingsReader<'_>,
+    members: &mut Vec<MemberAddress>,
+) -> Option<JoinSettings> {
+    let mut seeds: Vec<SocketAddr> = reader.scalars("seeds", ADDRESS);
+    let first_start = reader.optional("first_start", "true or false");
+    let losses: Option<usize> = reader.optional("losses", "0 to 3");
+    if seeds.is_empty() {
+        return None;
+    }
+    if !members.is_empty() {
+        reader.fault("seeds", "stand beside members; keep one of the two");
+    }
+    let losses = losses.unwrap_or(1);
+    if losses > LOSSES_MAX {
+        reader.fault("losses", "are too many; write 0 to 3");
+    }
+    // All instances must agree on who founds, in whatever order they are told.
+    seeds.sort_unstable();
+    for address in seeds {
+        members.push(MemberAddress {
+            instance: address.to_string().into(),
+            address,
+            vote: true,
+        });
+    }
+    Some(JoinSettings {
+        first_start: first_start.unwrap_or(false),
+        voters: 2 * losses + 1,
+    })
+}
+
 impl FromSettings for MemberAddress {
     fn from_settings(reader: &mut SettingsReader<'_>) -> Option<Self> {
         let instance = reader.required::<String>("instance", "the member's name");
--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use log::info;
@@ -25,6 +24,7 @@
 use cowslip_core::report_gather::ReportBatch;
 use cowslip_core::source_proof::SourceProof;
 use cowslip_core::version::ConfigVersion;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::codec;
 use cowslip_wire::follow_messages::ChunkAnswer;
 use cowslip_wire::follow_messages::ChunkCall;
@@ -99,7 +99,7 @@
 #[derive(Debug)]
 pub struct InstalledNews {
     /// When the question was sent.
-    pub sent_at: Instant,
+    pub sent_at: BootInstant,
     /// What the answer proves.
     pub source: SourceProof,
     /// The configuration, checked whole, where it is newer.
@@ -117,7 +117,7 @@
     leader: Option<LeaderWatch>,
     metrics: SourceMetrics,
     frozen: u64,
-    started: Instant,
+    started: BootInstant,
 }
 
 /// Starts the task.
@@ -138,7 +138,7 @@
         leader: None,
         metrics,
         frozen: 0,
-        started: Instant::now(),
+        started: BootInstant::now(),
     };
     let (sender, receiver) = mpsc::channel(MESSAGES_MAX);
     actix_rt::spawn(task.run(receiver));
--- a/crates/control/src/leader_view.rs
+++ b/crates/control/src/leader_view.rs
@@ -1,17 +1,18 @@
 //! Who leads, as this instance knows it; published by the agreed task.
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use tokio::sync::watch;
 
+use cowslip_wire::boot_instant::BootInstant;
+
 /// What this instance knows of the leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeaderView {
     /// Where the leader listens, if one is known.
     pub address: Option<SocketAddr>,
     /// End of the lease, where this instance leads.
-    pub lease_until: Option<Instant>,
+    pub lease_until: Option<BootInstant>,
 }
 
 impl LeaderView {
@@ -22,7 +23,8 @@
     /// another leader may have been elected. The end of the lease is
     /// looked at with every use.
     pub fn leading(&self) -> bool {
-        self.lease_until.is_some_and(|until| Instant::now() < until)
+        self.lease_until
+            .is_some_and(|until| BootInstant::now() < until)
     }
 }
 
--- /dev/null
+++ b/crates/control/src/operator_desk.rs
@@ -0,0 +1,268 @@
+//! What an interface for operators needs of a control instance: numbered
+//! revisions of the whole document, and moves of backend server versions.
+//!
+//! Only the leader decides. Every order may be repeated: a revision that is
+//! in force answers as accepted however many came after it, and a move that
+//! runs or ran a moment ago is not begun a second time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use cowslip_core::change::ChangeEntry;
+use cowslip_core::change::ChangeOutcome;
+use cowslip_core::change::ConfigChange;
+use cowslip_core::change::NumberedRevision;
+use cowslip_core::config_delta::ConfigDelta;
+use cowslip_core::config_digest::ConfigDigest;
+use cowslip_core::control_state::revised;
+use cowslip_core::control_state::ConfigSnapshot;
+use cowslip_core::document::validate;
+use cowslip_core::document::DocumentFault;
+use cowslip_core::document::FleetDocument;
+use cowslip_core::move_board::MoveState;
+use cowslip_core::rollout::rollout_change::MoveChange;
+use cowslip_core::rollout::rollout_change::MoveDue;
+use cowslip_core::rollout::rollout_record::RolloutRecord;
+use cowslip_core::rollout::share_plan::QuietChoice;
+use cowslip_wire::evidence_messages::RolloutLine;
+use cowslip_wire::evidence_messages::RolloutsCall;
+use cowslip_wire::messages::LeaderAnswer;
+use cowslip_wire::wall_clock;
+
+use crate::agreed_task::AgreedMessage;
+use crate::agreed_task::CurrentRevision;
+use crate::rollout_desk::RolloutDesk;
+
+/// How long after its start a repeated order of a move that is over is taken
+/// for a resend. Operators' programs resend for some seconds; a new order of
+/// the same move comes after somebody has mended the version.
+const RESEND_TIME: Duration = Duration::from_secs(10);
+
+/// An operator's whole document under a number.
+#[derive(Clone, Debug)]
+pub struct RevisionOrder {
+    /// Names the order by its content, so that a resend is known again.
+    pub request_id: Arc<str>,
+    /// Its number.
+    pub number: u64,
+    /// Number of the revision it builds on; 0 for the first.
+    pub builds_on: u64,
+    /// What the operator wrote.
+    pub document: FleetDocument,
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Agreed, now or before.
+    Accepted,
+    /// Another revision is in force than the order builds on.
+    Outrun,
+    /// It cannot be carried out; why.
+    Invalid(Vec<DocumentFault>),
+}
+
+/// An order of a move.
+#[derive(Clone, Debug)]
+pub struct MoveOrder {
+    /// Service.
+    pub service: Arc<str>,
+    /// The new version.
+    pub target: Arc<str>,
+    /// Time within which it must have taken over.
+    pub within: Duration,
+}
+
+/// How a move stands.
+#[derive(Clone, Debug)]
+pub struct MoveStanding {
+    /// The new version.
+    pub target: Arc<str>,
+    /// How far it has come.
+    pub state: MoveState,
+}
+
+/// Takes operators' orders at one control instance.
+pub struct OperatorDesk {
+    moves: RolloutDesk,
+}
+
+impl OperatorDesk {
+    /// A desk over the same tasks as `moves`.
+    pub fn new(moves: RolloutDesk) -> Self {
+        Self { moves }
+    }
+
+    /// What is in force, where this instance can be sure of it.
+    pub async fn current(&self) -> LeaderAnswer<CurrentRevision> {
+        self.current_and("".into()).await
+    }
+
+    async fn current_and(&self, order: Arc<str>) -> LeaderAnswer<CurrentRevision> {
+        self.ask(|reply| AgreedMessage::Current(order, reply)).await
+    }
+
+    /// Puts a revision in force, or says why not.
+    pub async fn revise(&self, order: RevisionOrder) -> LeaderAnswer<OrderOutcome> {
+        let id = Arc::clone(&order.request_id);
+        let current = match self.current_and(id).await {
+            LeaderAnswer::Here(current) => current,
+            LeaderAnswer::Elsewhere(leader) => return LeaderAnswer::Elsewhere(leader),
+            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        };
+        if let Some(ChangeOutcome::Accepted { .. }) = current.answer {
+            return LeaderAnswer::Here(OrderOutcome::Accepted);
+        }
+        if order.builds_on != current.number {
+            return LeaderAnswer::Here(OrderOutcome::Outrun);
+        }
+        let revision = match revision(&order, &current) {
+            Ok(revision) => revision,
+            Err(faults) => return LeaderAnswer::Here(OrderOutcome::Invalid(faults)),
+        };
+        let change = ConfigChange::Revise(Box::new(revision));
+        self.decide(order.request_id, change).await
+    }
+
+    async fn decide(
+        &self,
+        request_id: Arc<str>,
+        change: ConfigChange,
+    ) -> LeaderAnswer<OrderOutcome> {
+        let entry = ChangeEntry {
+            request_id,
+            expected: None,
+            at_ms: wall_clock::millis(),
+            change,
+        };
+        let decided = self
+            .ask(|reply| AgreedMessage::Change(Box::new(entry), reply))
+            .await;
+        match decided {
+            LeaderAnswer::Here(outcome) => LeaderAnswer::Here(order_outcome(outcome)),
+            LeaderAnswer::Elsewhere(leader) => LeaderAnswer::Elsewhere(leader),
+            LeaderAnswer::Unknown => LeaderAnswer::Unknown,
+        }
+    }
+
+    /// Begins a move. Its servers may announce themselves later.
+    pub async fn start_move(&self, order: MoveOrder) -> LeaderAnswer<OrderOutcome> {
+        let current = match self.current().await {
+            LeaderAnswer::Here(current) => current,
+            LeaderAnswer::Elsewhere(leader) => return LeaderAnswer::Elsewhere(leader),
+            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        };
+        let spec = current.snapshot.document.services.get(&order.service);
+        if spec.is_some_and(|spec| spec.takes_any_version()) {
+            // Which version is being replaced is not known yet.
+            return LeaderAnswer::Unknown;
+        }
+        let records = match self.ask(AgreedMessage::Rollouts).await {
+            LeaderAnswer::Here(records) => records,
+            LeaderAnswer::Elsewhere(leader) => return LeaderAnswer::Elsewhere(leader),
+            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        };
+        let same = |record: &&RolloutRecord| {
+            record.service == order.service && record.to == order.target
+        };
+        let earlier: Vec<&RolloutRecord> = records.iter().filter(same).collect();
+        if earlier.last().is_some_and(|record| is_resend(record)) {
+            return LeaderAnswer::Here(OrderOutcome::Accepted);
+        }
+        let change = MoveChange::Start {
+            service: Arc::clone(&order.service),
+            to: Arc::clone(&order.target),
+            due: MoveDue::Within(order.within.as_millis() as u64),
+            reason: String::new(),
+            if_quiet: QuietChoice::Finish,
+        };
+        let (service, target) = (&order.service, &order.target);
+        let id = format!("move-{service}-to-{target}-{}", earlier.len());
+        self.decide(id.into(), ConfigChange::Move(change)).await
+    }
+
+    /// How the last move of a service stands; `None` where there was none.
+    pub async fn last_move(
+        &self,
+        service: Arc<str>,
+    ) -> LeaderAnswer<Option<MoveStanding>> {
+        let call = RolloutsCall {
+            service: Some(service),
+            rollout: None,
+            course: false,
+        };
+        match self.moves.lines(call).await {
+            Some(LeaderAnswer::Here(lines)) => {
+                LeaderAnswer::Here(newest(lines).map(|line| MoveStanding {
+                    target: line.record.to,
+                    state: line.state,
+                }))
+            }
+            Some(LeaderAnswer::Elsewhere(leader)) => LeaderAnswer::Elsewhere(leader),
+            Some(LeaderAnswer::Unknown) | None => LeaderAnswer::Unknown,
+        }
+    }
+
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<LeaderAnswer<T>>) -> AgreedMessage,
+    ) -> LeaderAnswer<T> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.moves.agreed.task.send(message(reply)).await;
+        if sent.is_err() {
+            return LeaderAnswer::Unknown;
+        }
+        // The task drops questions only when it ends with the process.
+        answer.await.unwrap_or(LeaderAnswer::Unknown)
+    }
+}
+
+fn newest(lines: Vec<RolloutLine>) -> Option<RolloutLine> {
+    lines.into_iter().max_by_key(|line| line.record.rollout)
+}
+
+fn is_resend(record: &RolloutRecord) -> bool {
+    let started = Duration::from_millis(record.started_ms);
+    let recent = wall_clock::since_epoch() < started + RESEND_TIME;
+    record.end.is_none() || recent
+}
+
+fn order_outcome(outcome: ChangeOutcome) -> OrderOutcome {
+    match outcome {
+        ChangeOutcome::Accepted { .. } => OrderOutcome::Accepted,
+        ChangeOutcome::Conflict { .. } => OrderOutcome::Outrun,
+        ChangeOutcome::Invalid { faults } => OrderOutcome::Invalid(faults),
+    }
+}
+
+/// The difference that the order makes to what is in force.
+fn revision(
+    order: &RevisionOrder,
+    current: &CurrentRevision,
+) -> Result<NumberedRevision, Vec<DocumentFault>> {
+    let held = &current.snapshot;
+    let target = revised(&held.document, &order.document);
+    let faults = validate(&target);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let target = ConfigSnapshot {
+        version: held.version,
+        document: Arc::new(target),
+    };
+    // Its digest is of no use: the revision it applies to is told by number.
+    let delta = ConfigDelta::between(held, &target, ConfigDigest::default());
+    let delta = delta.ok_or_else(|| {
+        vec![DocumentFault {
+            path: "(document)".to_owned(),
+            problem: "it holds parts that cannot be told as a difference".to_owned(),
+        }]
+    })?;
+    Ok(NumberedRevision {
+        number: order.number,
+        builds_on: order.builds_on,
+        delta,
+    })
+}
--- /dev/null
+++ b/crates/control/src/pin_task.rs
@@ -0,0 +1,111 @@
+//! Names the version that serves a service whose document names none, where
+//! this instance leads.
+//!
+//! Load pattern: operators write routes and no versions, and servers of a
+//! later version announce themselves before their move is ordered. Without a
+//! name for the version in service, calls would go to the later one at once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use cowslip_core::change::ChangeEntry;
+use cowslip_core::change::ConfigChange;
+use cowslip_core::control_state::ConfigSnapshot;
+use cowslip_core::directory::EndpointRecord;
+use cowslip_core::directory::EndpointStanding;
+use cowslip_wire::wall_clock;
+
+use crate::agreed_task::AgreedHandle;
+use crate::agreed_task::AgreedMessage;
+use crate::fanout_task::FanoutMessage;
+
+/// How often the directory is looked at: well below the seconds in which a
+/// later version's servers could appear beside the first.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Watches for ever; proposes changes while this instance leads.
+pub async fn run(agreed: AgreedHandle, fanout: mpsc::Sender<FanoutMessage>) {
+    loop {
+        actix_rt::time::sleep(LOOK_EVERY).await;
+        if !agreed.leader.borrow().leading() {
+            continue;
+        }
+        let Some(snapshot) = ask(&fanout, FanoutMessage::Show).await else {
+            return;
+        };
+        let open =
+            |spec: &&Arc<str>| snapshot.document.services[*spec].takes_any_version();
+        if !snapshot.document.services.keys().any(|name| open(&name)) {
+            continue;
+        }
+        let Some(records) = ask(&fanout, FanoutMessage::Endpoints).await else {
+            return;
+        };
+        for (service, version) in pins(&snapshot, &records) {
+            propose(&agreed, &snapshot, service, version).await;
+        }
+    }
+}
+
+async fn ask<T>(
+    fanout: &mpsc::Sender<FanoutMessage>,
+    message: impl FnOnce(oneshot::Sender<T>) -> FanoutMessage,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    fanout.send(message(reply)).await.ok()?;
+    answer.await.ok()
+}
+
+/// Services without a version, and the one that most of their servers run.
+fn pins(
+    snapshot: &ConfigSnapshot,
+    records: &[EndpointRecord],
+) -> Vec<(Arc<str>, Arc<str>)> {
+    let mut pins = Vec::new();
+    for (service, spec) in &snapshot.document.services {
+        if !spec.takes_any_version() {
+            continue;
+        }
+        let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for record in records {
+            let serving = record.standing == EndpointStanding::Serving;
+            if serving && record.service == *service {
+                *counts.entry(&record.version).or_default() += 1;
+            }
+        }
+        let most = counts.iter().max_by_key(|(_, count)| **count);
+        if let Some((version, _)) = most {
+            pins.push((Arc::clone(service), Arc::clone(version)));
+        }
+    }
+    pins
+}
+
+async fn propose(
+    agreed: &AgreedHandle,
+    snapshot: &ConfigSnapshot,
+    service: Arc<str>,
+    version: Arc<str>,
+) {
+    info!("event=version-pinned process=control service={service} version={version}");
+    let entry = ChangeEntry {
+        request_id: format!("pin-{service}-{}", snapshot.version).into(),
+        expected: None,
+        at_ms: wall_clock::millis(),
+        change: ConfigChange::PinVersion { service, version },
+    };
+    let (reply, answer) = oneshot::channel();
+    let sent = agreed
+        .task
+        .send(AgreedMessage::Change(Box::new(entry), reply))
+        .await;
+    if sent.is_err() || answer.await.is_err() {
+        warn!("event=pin-unanswered process=control");
+    }
+}
--- a/crates/control/src/rollout_task.rs
+++ b/crates/control/src/rollout_task.rs
@@ -342,6 +342,8 @@
     entry: ChangeEntry,
 ) -> Option<LeaderAnswer<ChangeOutcome>> {
     let (reply, answer) = oneshot::channel();
-    task.send(AgreedMessage::Change(entry, reply)).await.ok()?;
+    task.send(AgreedMessage::Change(Box::new(entry), reply))
+        .await
+        .ok()?;
     answer.await.ok()
 }
--- a/crates/control/src/roster_task.rs
+++ b/crates/control/src/roster_task.rs
@@ -74,7 +74,7 @@
         change: ConfigChange::SetHolders(roster),
     };
     let (reply, answer) = oneshot::channel();
-    let message = AgreedMessage::Change(entry, reply);
+    let message = AgreedMessage::Change(Box::new(entry), reply);
     if agreed.task.send(message).await.is_ok() {
         let _ = answer.await;
     }
--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use log::warn;
 use tokio::sync::mpsc;
@@ -16,6 +15,7 @@
 use cowslip_core::report_gather::GATHER_TIME;
 use cowslip_core::version_follower::FollowStep;
 use cowslip_core::version_follower::VersionFollower;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::follow_messages::ChunkCall;
 use cowslip_wire::follow_messages::FollowCall;
 use cowslip_wire::follow_messages::FollowReply;
@@ -67,7 +67,7 @@
         follower: VersionFollower::new(Duration::ZERO),
         waited: false,
         directory: DirectoryFollower::default(),
-        started: Instant::now(),
+        started: BootInstant::now(),
     };
     loop {
         let Some(address) = leader_elsewhere(&leader) else {
@@ -93,7 +93,7 @@
     follower: VersionFollower,
     waited: bool,
     directory: DirectoryFollower,
-    started: Instant,
+    started: BootInstant,
 }
 
 impl LeaderFollower {
@@ -122,7 +122,7 @@
             wait_ms: wait.as_millis() as u64,
             node_domain: None,
         };
-        let sent_at = Instant::now();
+        let sent_at = BootInstant::now();
         let reply = self.client.send(address, &call, FOLLOW_PATIENCE).await?;
         let answer = match reply {
             FollowReply::News(answer) => *answer,
--- a/crates/control/tests/store_failures.rs
+++ b/crates/control/tests/store_failures.rs
@@ -135,6 +135,7 @@
             vote: true,
         };
         let settings = ControlSettings {
+            joining: None,
             instance: "control-1".into(),
             failure_domain: "one".into(),
             listen: member.address,
@@ -193,7 +194,9 @@
         },
     };
     let (reply, answer) = oneshot::channel();
-    let sent = task.send(AgreedMessage::Change(entry, reply)).await;
+    let sent = task
+        .send(AgreedMessage::Change(Box::new(entry), reply))
+        .await;
     sent.expect("the task runs");
     answer.await.expect("it answers")
 }
--- a/crates/core/benches/load_decisions.rs
+++ b/crates/core/benches/load_decisions.rs
@@ -61,12 +61,14 @@
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
+        ..ServiceSpec::default()
     };
     let route = RouteSpec {
         path: "/prices".into(),
         service: "records".into(),
         priority: CallPriority::High,
         internal: false,
+        ..RouteSpec::default()
     };
     let document = FleetDocument {
         services: BTreeMap::from([("records".into(), spec)]),
@@ -100,6 +102,7 @@
 /// A call's whole way through the entry node's decisions.
 fn entry_call(router: &mut EntryRouter, now: Duration) {
     let head = CallHead {
+        host: "",
         path: "/prices/today",
         origin: CallOrigin::Outside,
         customer: "cider-house-1",
--- a/crates/core/src/agreement/founding.rs
+++ b/crates/core/src/agreement/founding.rs
@@ -35,6 +35,7 @@
 /// An instance's last greeting.
 #[derive(Clone, Debug)]
 pub(super) struct Greeting {
+    pub(super) address: SocketAddr,
     pub(super) folder: u64,
     pub(super) fresh: bool,
     pub(super) at: Duration,
@@ -91,6 +92,7 @@
         let known = self.greetings.contains_key(&message.from);
         if known || self.greetings.len() < GREETINGS_MAX {
             let greeting = Greeting {
+                address: message.address,
                 folder: message.folder,
                 fresh,
                 at: now,
@@ -127,6 +129,7 @@
             return;
         }
         let greeting = Greeting {
+            address: message.address,
             folder: message.folder,
             fresh,
             at: now,
@@ -150,7 +153,8 @@
 
     fn try_found(&mut self, now: Duration) {
         let first = self.founders.first().map(|(name, _)| name);
-        if first != Some(&self.identity.instance) || !self.takes_part() {
+        let allowed = self.may_found && self.takes_part();
+        if first != Some(&self.identity.instance) || !allowed {
             return;
         }
         if !self.is_unfounded() {
--- a/crates/core/src/agreement/leadership.rs
+++ b/crates/core/src/agreement/leadership.rs
@@ -68,6 +68,11 @@
         self.heard.is_some_and(|at| now < at + PEER_LIVE)
     }
 
+    /// Last time anything came from it.
+    pub(super) fn heard_at(&self) -> Option<Duration> {
+        self.heard
+    }
+
     /// True where a snapshot may go out: the member answers heartbeats, and
     /// none is on its way. One sent to a member that is away would be lost
     /// and waited for.
@@ -97,6 +102,11 @@
 }
 
 impl Leadership {
+    /// When this leadership began.
+    pub(super) fn since(&self) -> Duration {
+        self.since
+    }
+
     /// Latest time at which a majority is known to have taken a heartbeat
     /// that had left by then.
     fn confirmed_at(&self, member: &AgreementMember, now: Duration) -> Option<Duration> {
@@ -222,6 +232,7 @@
             return;
         }
         self.promote_learner(now);
+        self.adopt_greeting(now);
     }
 
     /// Gives leadership to a member that holds everything, for a planned
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -114,6 +114,9 @@
     pub(super) quiet_until: Duration,
     pub(super) election_at: Duration,
     pub(super) hello_at: Duration,
+    pub(super) may_found: bool,
+    /// Voters that the leader sees to by itself; 0 leaves them to operators.
+    pub(super) voters_wanted: usize,
 }
 
 impl AgreementMember {
@@ -155,11 +158,33 @@
             quiet_until: now + ELECTION_MIN,
             election_at: now,
             hello_at: now,
+            may_found: true,
+            voters_wanted: 0,
         };
         member.delay_election(now);
         member
     }
 
+    /// Never founds a log: the fleet has been founded before.
+    ///
+    /// Guards against an instance that comes back with an empty folder while
+    /// all others are away: it would found a second log, and operators would
+    /// read that nothing was ever accepted.
+    pub fn forbid_founding(&mut self) {
+        self.may_found = false;
+    }
+
+    /// As a leader, adds instances that greet until there are `wanted`
+    /// voters, and puts returned ones in the place of their lost folders.
+    pub fn see_to_voters(&mut self, wanted: usize) {
+        self.voters_wanted = wanted;
+    }
+
+    /// Other instances to greet besides the members, by name and address.
+    pub fn greet_also(&mut self, others: Vec<(Arc<str>, SocketAddr)>) {
+        self.founders = others;
+    }
+
     /// Who leads, as far as this member knows.
     pub fn standing(&self, now: Duration) -> LeaderStanding {
         if let MemberStage::Leader(leadership) = &self.stage {
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -21,6 +21,11 @@
 /// five survive two losses already.
 const VOTERS_MAX: usize = 7;
 
+/// A member silent for this long gives its place to one that greets: far
+/// longer than a restart or a partition of some seconds, whose member comes
+/// back with all that it held.
+const LOST_AFTER: Duration = Duration::from_secs(12);
+
 /// What an operator asks of the members.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberChange {
@@ -220,6 +225,65 @@
         self.propose(now, EntryBody::Members(members));
     }
 
+    /// Sees to the wanted number of voters without an operator.
+    ///
+    /// Load pattern: instances lose their disks or are replaced for good at
+    /// any hour. Without this the next loss of one more voter stops all
+    /// changes until an operator has added the returned one by hand.
+    pub(super) fn adopt_greeting(&mut self, now: Duration) {
+        let MemberStage::Leader(leadership) = &self.stage else {
+            return;
+        };
+        let settled = self.log.members_index() <= self.commit;
+        if self.voters_wanted == 0 || !settled || !leadership.is_fresh(self, now) {
+            return;
+        }
+        let Some(change) = self.wanted_change(now) else {
+            return;
+        };
+        // Refused where too few are live; the next tick looks again.
+        let _ = self.change_members(now, &change);
+    }
+
+    fn wanted_change(&self, now: Duration) -> Option<MemberChange> {
+        let members = self.log.members();
+        for (instance, greeting) in &self.greetings {
+            let recent = now < greeting.at + GREETING_FRESH;
+            if !recent || !greeting.fresh || members.holds(instance, greeting.folder) {
+                continue;
+            }
+            let returned = members.get(instance).is_some();
+            if returned || members.iter().count() < self.voters_wanted {
+                return Some(MemberChange::Add {
+                    instance: Arc::clone(instance),
+                    address: greeting.address,
+                });
+            }
+            if let Some(instance) = self.long_lost(now) {
+                return Some(MemberChange::Remove { instance });
+            }
+        }
+        None
+    }
+
+    /// A member that has not been heard of for [`LOST_AFTER`].
+    fn long_lost(&self, now: Duration) -> Option<Arc<str>> {
+        let MemberStage::Leader(leadership) = &self.stage else {
+            return None;
+        };
+        for (instance, _) in self.log.members().iter() {
+            if *instance == self.identity.instance {
+                continue;
+            }
+            let heard = self.progress(instance).and_then(|peer| peer.heard_at());
+            let since = heard.unwrap_or(Duration::ZERO).max(leadership.since());
+            if now >= since + LOST_AFTER {
+                return Some(Arc::clone(instance));
+            }
+        }
+        None
+    }
+
     /// The members as the leader sees them.
     pub fn member_lines(&self, now: Duration) -> Vec<MemberLine> {
         let mut lines = Vec::new();
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::claim::HolderRoster;
+use crate::config_delta::ConfigDelta;
 use crate::document::DocumentFault;
 use crate::document::ExceptionEntry;
 use crate::document::FleetDocument;
@@ -18,6 +19,15 @@
 pub enum ConfigChange {
     /// Replace the whole document.
     Apply(FleetDocument),
+    /// Replace what operators write, under a number of theirs.
+    Revise(Box<NumberedRevision>),
+    /// Name the version that serves a service whose document names none.
+    PinVersion {
+        /// Service.
+        service: Arc<str>,
+        /// The version its servers have announced.
+        version: Arc<str>,
+    },
     /// Set one of the fleet's defaults.
     SetDefault {
         /// Which figure.
@@ -48,6 +58,13 @@
                 document.services.len(),
                 document.routes.len()
             ),
+            Self::Revise(revision) => format!(
+                "revision {} on top of {}",
+                revision.number, revision.builds_on
+            ),
+            Self::PinVersion { service, version } => {
+                format!("{service} is served by version {version}")
+            }
             Self::SetDefault { key, value } => format!("default {key}={value}"),
             Self::AddException(entry) => format!("exception {} added", entry.id),
             Self::RemoveException { id } => format!("exception {id} removed"),
@@ -61,6 +78,21 @@
     }
 }
 
+/// What operators write, replaced under a number that they chose.
+///
+/// Only the difference to the revision it builds on is in the log: whole
+/// documents of 300 routes are 60 KB each, a storm of them would fill the
+/// disk and the links between control instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NumberedRevision {
+    /// The operators' number; above that of the revision in force.
+    pub number: u64,
+    /// Number of the revision that it builds on.
+    pub builds_on: u64,
+    /// From the document of that revision to the new one.
+    pub delta: ConfigDelta,
+}
+
 /// A change as it stands in the agreed log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeEntry {
--- a/crates/core/src/config_delta.rs
+++ b/crates/core/src/config_delta.rs
@@ -16,8 +16,10 @@
 
 use crate::config_digest::ConfigDigest;
 use crate::control_state::ConfigSnapshot;
+use crate::document::CallerLimits;
 use crate::document::ExceptionEntry;
 use crate::document::FleetDocument;
+use crate::document::LabelTable;
 use crate::document::RouteSpec;
 use crate::document::ServiceSpec;
 use crate::tuning::TuningKey;
@@ -52,6 +54,10 @@
     defaults_set: Vec<(TuningKey, u64)>,
     #[serde(default, skip_serializing_if = "ListEdit::is_empty")]
     exceptions: ListEdit<ExceptionEntry>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    limits: Option<CallerLimits>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    labels: Option<LabelTable>,
 }
 
 /// A delta that cannot be used; the follower asks for the whole snapshot.
@@ -98,6 +104,8 @@
             defaults_removed: Vec::new(),
             defaults_set: Vec::new(),
             exceptions: ListEdit::between(&old.exceptions, &new.exceptions),
+            limits: (old.limits != new.limits).then(|| new.limits.clone()),
+            labels: (old.labels != new.labels).then(|| new.labels.clone()),
         };
         delta.find_services(old, new);
         delta.find_defaults(old, new);
@@ -173,7 +181,8 @@
         })
     }
 
-    fn edit(&self, old: &FleetDocument) -> FleetDocument {
+    /// The document that the edits make of `old`, whatever its version.
+    pub(crate) fn edit(&self, old: &FleetDocument) -> FleetDocument {
         let mut document = old.clone();
         for name in &self.services_removed {
             document.services.remove(name);
@@ -189,6 +198,12 @@
         }
         document.routes = self.routes.apply(&old.routes);
         document.exceptions = self.exceptions.apply(&old.exceptions);
+        if let Some(limits) = &self.limits {
+            document.limits = limits.clone();
+        }
+        if let Some(labels) = &self.labels {
+            document.labels = labels.clone();
+        }
         document
     }
 }
--- a/crates/core/src/config_delta/list_edit.rs
+++ b/crates/core/src/config_delta/list_edit.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::hash::Hash;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -12,32 +13,46 @@
 
 /// An item of a list of the document, told apart by its key.
 pub trait KeyedItem: Clone + PartialEq {
+    /// What tells items apart.
+    type Key: Clone + Eq + Hash;
+
     /// Unique within the list.
-    fn key(&self) -> &Arc<str>;
+    fn key(&self) -> Self::Key;
 }
 
+/// A route's host and path.
+pub type RouteKey = (Option<Arc<str>>, Arc<str>);
+
 impl KeyedItem for RouteSpec {
-    fn key(&self) -> &Arc<str> {
-        &self.path
+    type Key = RouteKey;
+
+    fn key(&self) -> RouteKey {
+        (self.host.clone(), Arc::clone(&self.path))
     }
 }
 
 impl KeyedItem for ExceptionEntry {
-    fn key(&self) -> &Arc<str> {
-        &self.id
+    type Key = Arc<str>;
+
+    fn key(&self) -> Arc<str> {
+        Arc::clone(&self.id)
     }
 }
 
 /// Removals, replacements in place and insertions, in that order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListEdit<T> {
-    removed: Vec<Arc<str>>,
+#[serde(bound(
+    serialize = "T: Serialize, T::Key: Serialize",
+    deserialize = "T: Deserialize<'de>, T::Key: Deserialize<'de>"
+))]
+pub struct ListEdit<T: KeyedItem> {
+    removed: Vec<T::Key>,
     replaced: Vec<T>,
     /// Place in the new list and item, by place.
     inserted: Vec<(u32, T)>,
 }
 
-impl<T> Default for ListEdit<T> {
+impl<T: KeyedItem> Default for ListEdit<T> {
     fn default() -> Self {
         Self {
             removed: Vec::new(),
@@ -47,7 +62,7 @@
     }
 }
 
-impl<T> ListEdit<T> {
+impl<T: KeyedItem> ListEdit<T> {
     /// Number of items that change.
     pub fn len(&self) -> usize {
         self.removed.len() + self.replaced.len() + self.inserted.len()
@@ -71,7 +86,7 @@
         let mut kept = HashSet::with_capacity(new.len());
         let mut next = 0;
         for (place, item) in new.iter().enumerate() {
-            let held = places.get(item.key()).copied();
+            let held = places.get(&item.key()).copied();
             let Some(held) = held.filter(|held| *held >= next) else {
                 edit.inserted.push((place as u32, item.clone()));
                 continue;
@@ -83,8 +98,8 @@
             }
         }
         for item in old {
-            if !kept.contains(item.key()) {
-                edit.removed.push(Arc::clone(item.key()));
+            if !kept.contains(&item.key()) {
+                edit.removed.push(item.key());
             }
         }
         edit
@@ -92,7 +107,7 @@
 
     /// The list after the edit.
     pub fn apply(&self, old: &[T]) -> Vec<T> {
-        let removed: HashSet<&Arc<str>> = self.removed.iter().collect();
+        let removed: HashSet<&T::Key> = self.removed.iter().collect();
         let mut replaced = HashMap::with_capacity(self.replaced.len());
         for item in &self.replaced {
             replaced.insert(item.key(), item);
@@ -100,7 +115,7 @@
         let mut inserted = self.inserted.iter().peekable();
         let mut list: Vec<T> = Vec::with_capacity(old.len() + self.inserted.len());
         for item in old {
-            if removed.contains(item.key()) {
+            if removed.contains(&item.key()) {
                 continue;
             }
             while let Some((_, new)) =
@@ -108,7 +123,7 @@
             {
                 list.push(new.clone());
             }
-            let item = replaced.get(item.key()).copied().unwrap_or(item);
+            let item = replaced.get(&item.key()).copied().unwrap_or(item);
             list.push(item.clone());
         }
         for (_, new) in inserted {
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -14,6 +14,7 @@
 use crate::change::ChangeEntry;
 use crate::change::ChangeOutcome;
 use crate::change::ConfigChange;
+use crate::change::NumberedRevision;
 use crate::document::validate;
 use crate::document::DocumentFault;
 use crate::document::FleetDocument;
@@ -60,6 +61,9 @@
     history: VecDeque<AcceptedChange>,
     #[serde(default)]
     rollouts: RolloutBook,
+    /// Operators' number of the revision in force; 0 before the first.
+    #[serde(default)]
+    revision: u64,
 }
 
 impl ControlState {
@@ -68,6 +72,11 @@
         &self.snapshot
     }
 
+    /// Operators' number of the revision in force; 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Moves of backend server versions.
     pub fn rollouts(&self) -> &RolloutBook {
         &self.rollouts
@@ -97,13 +106,17 @@
             return answer.clone();
         }
         let outcome = self.decide(version, entry);
-        self.remember(&entry.request_id, &outcome);
+        if is_kept(entry, &outcome) {
+            self.remember(&entry.request_id, &outcome);
+        }
         outcome
     }
 
     fn decide(&mut self, version: ConfigVersion, entry: &ChangeEntry) -> ChangeOutcome {
         let current = self.snapshot.version;
-        if entry.expected.is_some_and(|expected| expected != current) {
+        if entry.expected.is_some_and(|expected| expected != current)
+            || self.is_outrun(&entry.change)
+        {
             let winner = Arc::clone(&self.winner);
             return ChangeOutcome::Conflict { current, winner };
         }
@@ -115,11 +128,22 @@
             version,
             document: Arc::new(document),
         };
+        if let ConfigChange::Revise(revision) = &entry.change {
+            self.revision = revision.number;
+        }
         self.winner = Arc::clone(&entry.request_id);
         self.record(version, entry);
         ChangeOutcome::Accepted { version }
     }
 
+    /// True for a revision on top of another one than is in force.
+    fn is_outrun(&self, change: &ConfigChange) -> bool {
+        let ConfigChange::Revise(revision) = change else {
+            return false;
+        };
+        revision.builds_on != self.revision
+    }
+
     fn edited(
         &mut self,
         version: ConfigVersion,
@@ -129,6 +153,9 @@
         if let ConfigChange::Move(change) = &entry.change {
             return self.rollouts.decide(version, entry.at_ms, document, change);
         }
+        if let ConfigChange::Revise(revision) = &entry.change {
+            check_number(revision, self.revision)?;
+        }
         self.rollouts.settle(edit(document, &entry.change)?)
     }
 
@@ -156,6 +183,63 @@
     }
 }
 
+/// Whether resends get this answer again.
+///
+/// A refused revision is judged anew instead: the same order may come once
+/// more after the revision that it builds on has come into force.
+fn is_kept(entry: &ChangeEntry, outcome: &ChangeOutcome) -> bool {
+    let revision = matches!(entry.change, ConfigChange::Revise(_));
+    !revision || matches!(outcome, ChangeOutcome::Accepted { .. })
+}
+
+fn check_number(
+    revision: &NumberedRevision,
+    held: u64,
+) -> Result<(), Vec<DocumentFault>> {
+    if revision.number > held {
+        return Ok(());
+    }
+    Err(vec![DocumentFault {
+        path: "number".to_owned(),
+        problem: format!("{} is not above {held}, which is in force", revision.number),
+    }])
+}
+
+/// The document of a revision as it will be in force: with what operators
+/// do not write taken from the one in force.
+pub fn revised(held: &FleetDocument, written: &FleetDocument) -> FleetDocument {
+    let mut edited = written.clone();
+    keep_versions(held, &mut edited);
+    edited.holders = held.holders.clone();
+    edited
+}
+
+/// Versions of services are moved by moves alone: a revision names none.
+fn keep_versions(document: &FleetDocument, edited: &mut FleetDocument) {
+    for (name, spec) in &mut edited.services {
+        let Some(held) = document.services.get(name) else {
+            continue;
+        };
+        spec.version = Arc::clone(&held.version);
+        spec.candidate = held.candidate.clone();
+    }
+}
+
+fn pin_version(
+    edited: &mut FleetDocument,
+    service: &Arc<str>,
+    version: &Arc<str>,
+) -> Result<(), Vec<DocumentFault>> {
+    let spec = edited.services.get_mut(service);
+    let Some(spec) = spec.filter(|spec| spec.takes_any_version()) else {
+        let path = format!("services.{service}.version");
+        let problem = "its version is named already".to_owned();
+        return Err(vec![DocumentFault { path, problem }]);
+    };
+    spec.version = Arc::clone(version);
+    Ok(())
+}
+
 /// The document after `change`, validated whole, or every fault of it.
 pub fn edit(
     document: &FleetDocument,
@@ -170,6 +254,13 @@
             // a key claimed at the old ones could run again.
             edited.holders = document.holders.clone();
         }
+        ConfigChange::Revise(revision) => {
+            edited = revision.delta.edit(document);
+            keep_versions(document, &mut edited);
+        }
+        ConfigChange::PinVersion { service, version } => {
+            pin_version(&mut edited, service, version)?;
+        }
         ConfigChange::SetHolders(roster) => edited.holders = roster.clone(),
         ConfigChange::SetDefault { key, value } => edited.defaults.set(*key, *value),
         ConfigChange::AddException(entry) => edited.exceptions.push(entry.clone()),
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -104,6 +104,11 @@
         self.records.is_empty()
     }
 
+    /// Endpoints that have not left.
+    pub fn len(&self) -> usize {
+        self.records.len() - self.tombstones.len()
+    }
+
     /// Takes a record unless one as new or newer is held already; true
     /// where it changed something.
     pub fn merge(&mut self, record: EndpointRecord) -> bool {
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -32,21 +32,73 @@
     /// Departures from the defaults, each with its reason.
     #[serde(default)]
     pub exceptions: Vec<ExceptionEntry>,
+    /// Bounds on what callers may send.
+    #[serde(default, skip_serializing_if = "CallerLimits::is_empty")]
+    pub limits: CallerLimits,
+    /// What operators noted on the document; carried and shown, never read.
+    #[serde(default, skip_serializing_if = "LabelTable::is_empty")]
+    pub labels: LabelTable,
     /// Nodes that hold the claims of non-idempotent calls; kept by the
     /// leader, not by operators.
     #[serde(default, skip_serializing_if = "HolderRoster::is_empty")]
     pub holders: HolderRoster,
 }
 
+/// Notes by name, such as the display name of a route.
+pub type LabelTable = BTreeMap<Arc<str>, Arc<str>>;
+
+/// Bounds on what a caller may send and how long it may take; a figure that
+/// is absent is the node's own.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub head_bytes: Option<u64>,
+    /// Largest body of a request, in bytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub body_bytes: Option<u64>,
+    /// Longest time for a head to arrive whole, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub head_ms: Option<u64>,
+    /// How long a connection may stay idle, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idle_ms: Option<u64>,
+}
+
+impl CallerLimits {
+    /// True where nothing is set.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Stands for a backend server version in service that nobody has named
+/// yet: the leader puts the first one announced in its place.
+pub const ANY_VERSION: &str = "any";
+
 /// A service and the backend server version that serves it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSpec {
-    /// Backend server version in service.
+    /// Backend server version in service, or [`ANY_VERSION`].
     pub version: Arc<str>,
     /// Version that is taking over, while a move is on its way.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub candidate: Option<CandidateShare>,
+    /// Connections that one backend server takes at most.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections_max: Option<u32>,
+    /// What operators noted on the service; carried and shown, never read.
+    #[serde(default, skip_serializing_if = "LabelTable::is_empty")]
+    pub labels: LabelTable,
+}
+
+impl ServiceSpec {
+    /// True where any version that a server announces is in service.
+    pub fn takes_any_version(&self) -> bool {
+        *self.version == *ANY_VERSION
+    }
 }
 
 /// A new version beside the old one, with its share of the traffic.
@@ -109,7 +161,7 @@
 }
 
 /// One route: a path prefix and the service behind it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
     /// Path prefix, from the leading slash; matches whole segments.
@@ -122,6 +174,57 @@
     /// True where only backend servers' outbound calls may use the route.
     #[serde(default)]
     pub internal: bool,
+    /// Host whose calls the route takes; calls to any where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<Arc<str>>,
+    /// Services that share the calls; `service` alone where empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<TrafficPart>,
+    /// Whether calls may run twice; by their method where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub repeat: Option<RepeatRule>,
+    /// Longest time that a caller is kept waiting, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub timeout_ms: Option<u64>,
+    /// Time within which an answer is worth most, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_ms: Option<u64>,
+    /// Backend servers to which one call may be sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tries_max: Option<u64>,
+    /// What operators noted on the route; carried and shown, never read.
+    #[serde(default, skip_serializing_if = "LabelTable::is_empty")]
+    pub labels: LabelTable,
+}
+
+/// One of the services that share a route's calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TrafficPart {
+    /// Service.
+    pub service: Arc<str>,
+    /// Its part of the sum of all weights.
+    pub weight: u32,
+}
+
+/// Whether a call may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RepeatRule {
+    /// Running it twice does no harm.
+    Idempotent,
+    /// It runs at most once.
+    AtMostOnce,
+}
+
+impl RouteSpec {
+    /// Every service that the route may lead to.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let alone = self.split.is_empty().then_some(&self.service);
+        alone
+            .into_iter()
+            .chain(self.split.iter().map(|part| &part.service))
+    }
 }
 
 /// What an exception applies to; an absent field matches everything.
--- a/crates/core/src/document/validate.rs
+++ b/crates/core/src/document/validate.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -19,6 +20,10 @@
 /// Whole traffic, in thousandths.
 const WHOLE_PER_MILLE: u16 = 1_000;
 
+/// Timeouts of a route, in milliseconds: up to ten minutes, beyond which a
+/// caller has long gone.
+const TIMEOUT_MS: RangeInclusive<u64> = 1..=600_000;
+
 /// One fault of a document, with its path and what would be right.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentFault {
@@ -92,14 +97,30 @@
     let mut seen = BTreeSet::new();
     for (at, route) in document.routes.iter().enumerate() {
         check_route_path(at, route, faults);
-        if !seen.insert(&route.path) {
+        if !seen.insert((&route.host, &route.path)) {
             let problem = format!("{:?} stands twice; keep one", route.path);
             faults.push(format!("routes[{at}].path"), problem);
         }
-        if !document.services.contains_key(&route.service) {
-            let problem = format!("no service {:?} in this document", route.service);
+        for service in route.services() {
+            if document.services.contains_key(service) {
+                continue;
+            }
+            let problem = format!("no service {service:?} in this document");
             faults.push(format!("routes[{at}].service"), problem);
         }
+        check_route_terms(at, route, faults);
+    }
+}
+
+fn check_route_terms(at: usize, route: &RouteSpec, faults: &mut FaultList) {
+    if route.timeout_ms.is_some_and(|ms| !TIMEOUT_MS.contains(&ms)) {
+        let problem = "a timeout is 1 ms to ten minutes";
+        faults.push(format!("routes[{at}].timeout_ms"), problem);
+    }
+    let weights = route.split.iter().map(|part| u64::from(part.weight));
+    if !route.split.is_empty() && weights.sum::<u64>() == 0 {
+        let problem = "the weights of a split are zero; give one of them more";
+        faults.push(format!("routes[{at}].split"), problem);
     }
 }
 
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -21,8 +21,11 @@
 use crate::document::CallPlace;
 use crate::document::CallPriority;
 use crate::document::DocumentFault;
+use crate::document::RepeatRule;
+use crate::document::RouteSpec;
 use crate::document::ServiceSpec;
 use crate::load::fleet_servers::FleetServers;
+use crate::load::retry_budget::BudgetTerms;
 use crate::load::server_pool::ChoiceNeed;
 use crate::load::server_pool::ServerEvidence;
 use crate::load::service_pressure::ServicePressure;
@@ -51,13 +54,16 @@
 /// What routing needs of a call's head.
 #[derive(Clone, Debug)]
 pub struct CallHead<'a> {
+    /// Host that the caller names, without a port; empty where it names none.
+    pub host: &'a str,
     /// Path without the query.
     pub path: &'a str,
     /// Listener it came in by.
     pub origin: CallOrigin,
     /// Customer it is made for; empty where the caller names none.
     pub customer: &'a str,
-    /// True where running it twice does no harm.
+    /// True where its method says that running it twice does no harm; the
+    /// route's own rule goes before it.
     pub idempotent: bool,
     /// Time the caller gives it, if it says.
     pub deadline: Option<Duration>,
@@ -83,15 +89,55 @@
     /// Listener it came in by.
     pub origin: CallOrigin,
     idempotent: bool,
-    tries_max: u64,
+    tries: TryAllowance,
     tried: Vec<Arc<str>>,
     failed_for: Option<RefusalReason>,
 }
 
+/// How often a call may be tried.
+#[derive(Clone, Copy, Debug)]
+struct TryAllowance {
+    /// Backend servers that it may reach.
+    servers_left: u64,
+    /// Tries, those that servers' nodes refused included.
+    tries_left: u64,
+}
+
+/// Refusals by servers' nodes that a call may meet beyond the servers that
+/// its route lets it reach: each costs a round trip and reaches no server.
+/// With a quarter of the servers leaving, three in a row are 1 in 64 calls.
+const NODE_REFUSALS_MAX: u64 = 3;
+
+impl TryAllowance {
+    fn of(route: &RouteSpec, fleet: u64) -> Self {
+        match route.tries_max {
+            Some(servers) => Self {
+                servers_left: servers,
+                tries_left: servers + NODE_REFUSALS_MAX,
+            },
+            None => Self {
+                servers_left: fleet,
+                tries_left: fleet,
+            },
+        }
+    }
+
+    fn spend(&mut self, failure: TryFailure) {
+        self.tries_left = self.tries_left.saturating_sub(1);
+        if failure.reached_server() {
+            self.servers_left = self.servers_left.saturating_sub(1);
+        }
+    }
+
+    fn is_spent(self) -> bool {
+        self.servers_left == 0 || self.tries_left == 0
+    }
+}
+
 impl CallPlan {
     /// Nothing can be sent again: a body that streamed is spent.
     pub fn forbid_retry(&mut self) {
-        self.tries_max = 0;
+        self.tries.tries_left = 0;
     }
 
     /// Where nothing has run another try does no harm. Where it may have,
@@ -123,6 +169,20 @@
     pub reason: RefusalReason,
 }
 
+impl TryFailure {
+    /// True where the other side said or did something before the time ran
+    /// out, be it that it broke off.
+    pub fn was_heard(&self) -> bool {
+        self.reason != RefusalReason::DeadlinePassed
+    }
+
+    /// True where the request came to a backend server, be it that the
+    /// server refused it.
+    pub fn reached_server(self) -> bool {
+        self.verdict != CallVerdict::NotRun || self.reason == RefusalReason::ServerRefused
+    }
+}
+
 /// What to do after a failed try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
@@ -277,30 +337,40 @@
         if self.snapshot.version == ConfigVersion::ZERO {
             return Err(RefusalReason::NoConfiguration);
         }
-        let route = self.routes.find(head.path).ok_or(RefusalReason::NoRoute)?;
+        let route = self.routes.find(head.host, head.path);
+        let route = route.ok_or(RefusalReason::NoRoute)?;
         if route.internal && head.origin == CallOrigin::Outside {
             return Err(RefusalReason::InternalOnly);
         }
+        let service = draw_service(route, &mut self.rng);
         let place = CallPlace {
-            service: &route.service,
+            service,
             route: &route.path,
             failure_domain: &self.failure_domain,
         };
         let document = &self.snapshot.document;
         let default_ms = document.tuning(TuningKey::DeadlineMs, &place);
         let allowed = head.deadline.unwrap_or(Duration::from_millis(default_ms));
+        let timeout = route.timeout_ms.map(Duration::from_millis);
+        let allowed = allowed.min(timeout.unwrap_or(allowed));
         let percent = document.tuning(TuningKey::RetryPercent, &place);
+        let burst = document.tuning(TuningKey::RetryBurst, &place);
+        let tries = document.tuning(TuningKey::TriesMax, &place);
+        let idempotent = match route.repeat {
+            Some(rule) => rule == RepeatRule::Idempotent,
+            None => head.idempotent,
+        };
         let plan = CallPlan {
-            service: Arc::clone(&route.service),
+            service: Arc::clone(service),
             route: Arc::clone(&route.path),
             priority: route.priority,
             customer: head.customer.into(),
             arrived_at: now,
             deadline_at: now + allowed,
             verdict: CallVerdict::NotRun,
-            idempotent: head.idempotent,
+            idempotent,
             origin: head.origin,
-            tries_max: document.tuning(TuningKey::TriesMax, &place),
+            tries: TryAllowance::of(route, tries),
             tried: Vec::new(),
             failed_for: None,
         };
@@ -309,7 +379,8 @@
         if !pressure.admit(now, &plan.customer, plan.priority, &mut self.rng) {
             return Err(RefusalReason::CustomerLimit);
         }
-        pressure.budget.earn(now, percent);
+        let terms = BudgetTerms::of(percent, burst, self.directory.len());
+        pressure.budget.earn(now, terms);
         Ok(plan)
     }
 
@@ -337,7 +408,12 @@
         }
         let mut chosen = None;
         for version in [&version, &spec.version] {
-            if let Some(pool) = self.servers.pool(&plan.service, version) {
+            let pool = if spec.takes_any_version() {
+                self.servers.largest_pool(&plan.service)
+            } else {
+                self.servers.pool(&plan.service, version)
+            };
+            if let Some(pool) = pool {
                 chosen = chosen.or_else(|| pool.choose(now, &need, &mut self.rng));
             }
         }
@@ -366,7 +442,8 @@
         if evidence == ServerEvidence::Full {
             pressure.refused(now, &mut self.rng);
         }
-        let tries_left = (plan.tried.len() as u64) < plan.tries_max;
+        plan.tries.spend(failure);
+        let tries_left = !plan.tries.is_spent();
         let time_left = now < plan.deadline_at;
         let wanted = failure.reason.retry();
         let Some(reason) = wanted.filter(|_| tries_left && time_left) else {
@@ -375,7 +452,8 @@
         if !plan.is_harmless(failure.verdict) {
             return NextStep::Refuse(failure.reason);
         }
-        if !pressure.budget.spend() {
+        let costs = failure.reached_server() || evidence == ServerEvidence::Full;
+        if costs && !pressure.budget.spend() {
             return NextStep::Refuse(match plan.verdict {
                 CallVerdict::NotRun => RefusalReason::RetryBudget,
                 // The caller must read what happened to a request that
@@ -412,7 +490,9 @@
 /// What a failure says of its server.
 fn evidence_of(failure: TryFailure) -> ServerEvidence {
     match failure.reason {
-        RefusalReason::QueueFull | RefusalReason::QueueTimeout => ServerEvidence::Full,
+        RefusalReason::QueueFull
+        | RefusalReason::QueueTimeout
+        | RefusalReason::ServerRefused => ServerEvidence::Full,
         RefusalReason::Draining
         | RefusalReason::Stopping
         | RefusalReason::NotAnnounced => ServerEvidence::Away,
@@ -427,6 +507,22 @@
     }
 }
 
+/// The service for one call: by weight where the route splits its calls.
+fn draw_service<'a>(route: &'a RouteSpec, rng: &mut SmallRng) -> &'a Arc<str> {
+    let whole: u32 = route.split.iter().map(|part| part.weight).sum();
+    if whole == 0 {
+        return &route.service;
+    }
+    let mut drawn = rng.random_range(0..whole);
+    for part in &route.split {
+        if drawn < part.weight {
+            return &part.service;
+        }
+        drawn -= part.weight;
+    }
+    &route.service
+}
+
 /// The version for one call: the candidate with its share, else the one in
 /// service.
 fn draw_version(spec: &ServiceSpec, rng: &mut SmallRng) -> Arc<str> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod route_table;
 pub mod server_gate;
 pub mod server_presence;
+pub mod server_runs;
 pub mod snapshot_chunks;
 pub mod source_proof;
 pub mod source_ring;
--- a/crates/core/src/load/fleet_servers.rs
+++ b/crates/core/src/load/fleet_servers.rs
@@ -50,6 +50,17 @@
         self.pools.get_mut(service)?.get_mut(version)
     }
 
+    /// The pool of the version of `service` that most servers run.
+    pub fn largest_pool(&mut self, service: &str) -> Option<&mut ServerPool> {
+        let versions = self.pools.get_mut(service)?;
+        let pools = versions.iter_mut();
+        // Where two have as many, the lesser name, so that nodes agree.
+        let largest = pools.max_by(|(name, pool), (other, rival)| {
+            pool.len().cmp(&rival.len()).then(other.cmp(name))
+        });
+        largest.map(|(_, pool)| pool)
+    }
+
     /// A try at an instance is over.
     pub fn end(&mut self, now: Duration, instance: &str, evidence: ServerEvidence) {
         let Some(home) = self.homes.get(instance) else {
--- a/crates/core/src/load/retry_advice.rs
+++ b/crates/core/src/load/retry_advice.rs
@@ -30,6 +30,8 @@
         RefusalReason::QueueFull
         | RefusalReason::QueueTimeout
         | RefusalReason::CustomerLimit
+        | RefusalReason::ServerRefused
+        | RefusalReason::DeadlinePassed
         | RefusalReason::RetryBudget => OVERLOAD_SPAN,
         RefusalReason::NoConfiguration
         | RefusalReason::NoEndpoint
--- a/crates/core/src/load/retry_budget.rs
+++ b/crates/core/src/load/retry_budget.rs
@@ -12,44 +12,75 @@
 
 use std::time::Duration;
 
-/// Retries saved up at most, and held at the start: a loss of one server
-/// touches about its slots' worth of calls.
+/// Retries saved up at most by one node, and held at the start, where the
+/// fleet sets no sum of its own: a loss of one server touches about its
+/// slots' worth of calls.
 const SAVED_MAX: f64 = 10.0;
 
-/// Retries earned each second whatever the load, for services called rarely.
+/// Retries earned each second whatever the load, for services called rarely;
+/// none where the fleet sets a sum, which nodes would exceed together.
 const PER_SECOND: f64 = 0.5;
 
-/// Retries left for one service.
-#[derive(Clone, Debug)]
-pub struct RetryBudget {
-    saved: f64,
-    at: Duration,
+/// What a node may earn and save.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Part of a retry that one first try earns.
+    per_try: f64,
+    /// Retries earned each second.
+    per_second: f64,
+    /// Retries saved up at most.
+    saved_max: f64,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
+impl BudgetTerms {
+    /// Terms of a node among `nodes` whose fleet allows `percent` retries a
+    /// hundred first tries and `burst` more at once; 0 sets no such sum.
+    ///
+    /// Guards against nodes that each save up what is meant for all: after a
+    /// calm minute 70 of them together would send ten times the sum at once.
+    pub fn of(percent: u64, burst: u64, nodes: usize) -> Self {
+        let per_try = percent as f64 / 100.0;
+        if burst == 0 {
+            return Self {
+                per_try,
+                per_second: PER_SECOND,
+                saved_max: SAVED_MAX,
+            };
+        }
+        // At least one, or a small share could never buy a whole retry.
+        let share = burst as f64 / nodes.max(1) as f64;
         Self {
-            saved: SAVED_MAX,
-            at: Duration::ZERO,
+            per_try,
+            per_second: 0.0,
+            saved_max: share.max(1.0),
         }
     }
 }
 
+/// Retries left for one service.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    saved: Option<f64>,
+    at: Duration,
+}
+
 impl RetryBudget {
-    /// A first try earns `percent` hundredths of a retry.
-    pub fn earn(&mut self, now: Duration, percent: u64) {
+    /// A first try earns its part of a retry.
+    pub fn earn(&mut self, now: Duration, terms: BudgetTerms) {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        let earned = percent as f64 / 100.0 + passed * PER_SECOND;
-        self.saved = (self.saved + earned).min(SAVED_MAX);
+        let saved = self.saved.unwrap_or(terms.saved_max);
+        let earned = terms.per_try + passed * terms.per_second;
+        self.saved = Some((saved + earned).min(terms.saved_max));
     }
 
     /// Spends one retry; false where none is left.
     pub fn spend(&mut self) -> bool {
-        if self.saved < 1.0 {
+        let saved = self.saved.unwrap_or(SAVED_MAX);
+        if saved < 1.0 {
             return false;
         }
-        self.saved -= 1.0;
+        self.saved = Some(saved - 1.0);
         true
     }
 }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use crate::verdict::CallVerdict;
+
 /// Declares an enum of reasons with its words and the list of all variants,
 /// so that counters and pages can be proved complete.
 macro_rules! reasons {
@@ -58,6 +60,8 @@
         RetryBudget => "retry-budget",
         /// The backend server is leaving and takes no new work.
         Draining => "draining",
+        /// The backend server itself said that it did not run the call.
+        ServerRefused => "server-refused",
         /// The backend server has not announced itself to its node.
         NotAnnounced => "not-announced",
         /// The deadline had passed, or could not be met.
@@ -96,6 +100,8 @@
         Draining => "draining",
         /// The server's node knows no backend server yet, or no more.
         NotAnnounced => "not-announced",
+        /// The backend server itself said that it did not run the call.
+        ServerRefused => "server-refused",
         /// No connection to the server's node could be made.
         ConnectFailed => "connect-failed",
         /// An idempotent call whose connection broke.
@@ -111,13 +117,29 @@
             Self::QueueFull => Some(RetryReason::QueueFull),
             Self::Draining | Self::Stopping => Some(RetryReason::Draining),
             Self::NotAnnounced => Some(RetryReason::NotAnnounced),
+            Self::ServerRefused => Some(RetryReason::ServerRefused),
             Self::ConnectFailed => Some(RetryReason::ConnectFailed),
             Self::ConnectionBroken => Some(RetryReason::ConnectionBroken),
             _ => None,
         }
     }
 
-    /// The HTTP status that callers receive.
+    /// The HTTP status that callers receive with `verdict`.
+    ///
+    /// Guards against a status that promises "not run" for a call that may
+    /// have run in one of its tries, and against one that promises nothing
+    /// where nothing has run: callers go by the status alone.
+    pub fn status_for(self, verdict: CallVerdict) -> u16 {
+        let status = self.status();
+        match (verdict, status) {
+            (CallVerdict::NotRun, 502 | 504) => 503,
+            (CallVerdict::NotRun, _) => status,
+            (_, 429 | 503) => 502,
+            _ => status,
+        }
+    }
+
+    /// The HTTP status of the reason alone.
     pub fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
--- a/crates/core/src/rollout/rollout_book.rs
+++ b/crates/core/src/rollout/rollout_book.rs
@@ -318,6 +318,7 @@
 /// The document with the service as `record` says.
 fn with_record(document: &FleetDocument, record: &RolloutRecord) -> FleetDocument {
     let mut edited = document.clone();
+    let held = edited.services.remove(&record.service).unwrap_or_default();
     let candidate = CandidateShare {
         version: Arc::clone(&record.to),
         share_per_mille: record.share(),
@@ -327,14 +328,17 @@
         None => ServiceSpec {
             version: Arc::clone(&record.from),
             candidate: Some(candidate),
+            ..held
         },
         Some(RolloutEnd::Finished { .. }) => ServiceSpec {
             version: Arc::clone(&record.to),
             candidate: None,
+            ..held
         },
         Some(RolloutEnd::TakenBack { .. }) => ServiceSpec {
             version: Arc::clone(&record.from),
             candidate: None,
+            ..held
         },
     };
     edited.services.insert(Arc::clone(&record.service), spec);
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -6,32 +6,46 @@
 use crate::document::FleetDocument;
 use crate::document::RouteSpec;
 
-/// Routes of one snapshot by path prefix.
+/// Routes of one snapshot by host and path prefix.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    routes: HashMap<Arc<str>, RouteSpec>,
+    hosts: HashMap<Arc<str>, PathTable>,
+    any_host: PathTable,
 }
 
+type PathTable = HashMap<Arc<str>, RouteSpec>;
+
 impl RouteTable {
     /// Indexes the document's routes.
     pub fn new(document: &FleetDocument) -> Self {
-        let mut routes = HashMap::new();
+        let mut table = Self::default();
         for route in &document.routes {
-            routes.insert(Arc::clone(&route.path), route.clone());
+            let paths = match &route.host {
+                Some(host) => table.hosts.entry(Arc::clone(host)).or_default(),
+                None => &mut table.any_host,
+            };
+            paths.insert(Arc::clone(&route.path), route.clone());
         }
-        Self { routes }
+        table
+    }
+
+    /// The route with the longest prefix of whole segments of `path`, first
+    /// among those of `host`, then among those of no host.
+    pub fn find(&self, host: &str, path: &str) -> Option<&RouteSpec> {
+        let own = self.hosts.get(host);
+        let found = own.and_then(|paths| longest(paths, path));
+        found.or_else(|| longest(&self.any_host, path))
     }
+}
 
-    /// The route with the longest prefix of whole segments of `path`.
-    pub fn find(&self, path: &str) -> Option<&RouteSpec> {
-        let mut prefix = path.trim_end_matches('/');
-        while !prefix.is_empty() {
-            if let Some(route) = self.routes.get(prefix) {
-                return Some(route);
-            }
-            let cut = prefix.rfind('/')?;
-            prefix = &prefix[..cut];
+fn longest<'a>(paths: &'a PathTable, path: &str) -> Option<&'a RouteSpec> {
+    let mut prefix = path.trim_end_matches('/');
+    while !prefix.is_empty() {
+        if let Some(route) = paths.get(prefix) {
+            return Some(route);
         }
-        self.routes.get("/")
+        let cut = prefix.rfind('/')?;
+        prefix = &prefix[..cut];
     }
+    paths.get("/")
 }
--- a/crates/core/src/server_presence.rs
+++ b/crates/core/src/server_presence.rs
@@ -65,6 +65,18 @@
         Ok(())
     }
 
+    /// Another run of the server begins at `address`; it takes the place of
+    /// one that was leaving or lost.
+    pub fn begin_run(&mut self, address: SocketAddr) -> Result<(), PresenceRefusal> {
+        if self.node_stopping {
+            return Err(PresenceRefusal::NodeStopping);
+        }
+        self.address = Some(address);
+        self.draining_since = None;
+        self.lost = false;
+        Ok(())
+    }
+
     /// The server says that it leaves.
     pub fn drain(&mut self, now: Duration) {
         self.draining_since.get_or_insert(now);
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -21,6 +21,9 @@
     TriesMax,
     /// Retries allowed per hundred first tries.
     RetryPercent,
+    /// Retries that all nodes together may save up for a service, beyond
+    /// `RetryPercent`; 0 leaves ten to each node.
+    RetryBurst,
     /// Calls that may wait at a node for a slot of its backend server.
     QueueCalls,
     /// Longest wait in that queue, in milliseconds.
@@ -39,6 +42,7 @@
         Self::DeadlineMs,
         Self::TriesMax,
         Self::RetryPercent,
+        Self::RetryBurst,
         Self::QueueCalls,
         Self::QueueWaitMs,
         Self::MoveFirstShare,
@@ -52,6 +56,7 @@
             Self::DeadlineMs => "deadline_ms",
             Self::TriesMax => "tries_max",
             Self::RetryPercent => "retry_percent",
+            Self::RetryBurst => "retry_burst",
             Self::QueueCalls => "queue_calls",
             Self::QueueWaitMs => "queue_wait_ms",
             Self::MoveFirstShare => "move_first_share",
@@ -66,6 +71,7 @@
             Self::DeadlineMs => 10_000,
             Self::TriesMax => 3,
             Self::RetryPercent => 20,
+            Self::RetryBurst => 0,
             Self::QueueCalls => 64,
             Self::QueueWaitMs => 1_000,
             Self::MoveFirstShare => 5,
@@ -80,6 +86,7 @@
             Self::DeadlineMs => 1..=600_000,
             Self::TriesMax => 1..=10,
             Self::RetryPercent => 0..=100,
+            Self::RetryBurst => 0..=100_000,
             Self::QueueCalls => 0..=100_000,
             Self::QueueWaitMs => 0..=600_000,
             Self::MoveFirstShare => 1..=500,
--- a/crates/core/tests/config_delta.rs
+++ b/crates/core/tests/config_delta.rs
@@ -35,6 +35,7 @@
             share_per_mille,
             rollout: ConfigVersion::ZERO,
         }),
+        ..ServiceSpec::default()
     })
 }
 
@@ -44,6 +45,7 @@
         service: format!("service-{service}").into(),
         priority: CallPriority::Normal,
         internal,
+        ..RouteSpec::default()
     }
 }
 
@@ -181,6 +183,7 @@
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
+        ..ServiceSpec::default()
     };
     document.services.insert("contract".into(), spec);
     for at in 0..routes {
@@ -189,6 +192,7 @@
             service: "contract".into(),
             priority: CallPriority::Normal,
             internal: false,
+            ..RouteSpec::default()
         });
     }
     document
--- a/crates/core/tests/load_patterns/fake_fleet.rs
+++ b/crates/core/tests/load_patterns/fake_fleet.rs
@@ -174,12 +174,14 @@
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
+        ..ServiceSpec::default()
     };
     let routes = plan.routes.iter().map(|(path, priority, _)| RouteSpec {
         path: (*path).into(),
         service: SERVICE.into(),
         priority: *priority,
         internal: false,
+        ..RouteSpec::default()
     });
     FleetDocument {
         services: BTreeMap::from([(SERVICE.into(), spec)]),
@@ -327,6 +329,7 @@
         let at = (call + fake.resends as usize) % self.entries.len();
         if let Entry::Real(router) = &mut self.entries[at] {
             let head = CallHead {
+                host: "",
                 path: self.plan.routes[fake.offered.route].0,
                 origin: CallOrigin::Outside,
                 customer: &fake.offered.customer,
--- a/crates/core/tests/load_patterns/main.rs
+++ b/crates/core/tests/load_patterns/main.rs
@@ -4,7 +4,7 @@
 
 mod fake_fleet;
 mod naive_side;
-// The bench prints some figures that no test judges.
+// The benchmark prints some figures that no test judges.
 #[allow(dead_code)]
 mod scenarios;
 
--- a/crates/core/tests/load_router.rs
+++ b/crates/core/tests/load_router.rs
@@ -38,12 +38,14 @@
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
+        ..ServiceSpec::default()
     };
     let route = RouteSpec {
         path: "/lots".into(),
         service: "documents".into(),
         priority: CallPriority::Normal,
         internal: false,
+        ..RouteSpec::default()
     };
     let document = FleetDocument {
         services: BTreeMap::from([("documents".into(), spec)]),
@@ -73,6 +75,7 @@
 
 fn head(origin: CallOrigin, idempotent: bool) -> CallHead<'static> {
     CallHead {
+        host: "",
         path: "/lots/7",
         origin,
         customer: "co-operative-7",
--- a/crates/core/tests/load_servers.rs
+++ b/crates/core/tests/load_servers.rs
@@ -18,6 +18,7 @@
 use cowslip_core::load::fair_tags::FairTags;
 use cowslip_core::load::fleet_servers::FleetServers;
 use cowslip_core::load::retry_advice;
+use cowslip_core::load::retry_budget::BudgetTerms;
 use cowslip_core::load::retry_budget::RetryBudget;
 use cowslip_core::load::server_pool::ChoiceNeed;
 use cowslip_core::load::server_pool::ServerEvidence;
@@ -150,7 +151,7 @@
             now += millis(wait);
             if earn {
                 first += 1;
-                budget.earn(now, percent);
+                budget.earn(now, BudgetTerms::of(percent, 0, 1));
             } else if budget.spend() {
                 again += 1;
             }
--- a/crates/core/tests/node_guard.rs
+++ b/crates/core/tests/node_guard.rs
@@ -29,6 +29,7 @@
     let spec = ServiceSpec {
         version: version.into(),
         candidate,
+        ..ServiceSpec::default()
     };
     let mut document = FleetDocument::default();
     document.services.insert("ledger".into(), spec);
--- a/crates/core/tests/rollout_record.rs
+++ b/crates/core/tests/rollout_record.rs
@@ -59,6 +59,7 @@
         let spec = ServiceSpec {
             version: version.into(),
             candidate: None,
+            ..ServiceSpec::default()
         };
         document.services.insert(service.into(), spec);
     }
--- a/crates/core/tests/rollout_study/course.rs
+++ b/crates/core/tests/rollout_study/course.rs
@@ -196,6 +196,7 @@
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
+        ..ServiceSpec::default()
     };
     document.services.insert("ledger".into(), spec);
     document
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -1,11 +1,9 @@
 //! Passes a call on to the next hop and its answer back, streaming.
 
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
-use std::time::Instant;
 
 use actix_http::body::BodySize;
 use actix_http::body::BodyStream;
@@ -14,28 +12,34 @@
 use actix_http::body::SizedStream;
 use actix_http::error::PayloadError;
 use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::HOST;
 use actix_http::HttpMessage;
 use actix_http::Method;
 use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
-use awc::error::ConnectError;
-use awc::error::SendRequestError;
-use awc::ClientResponse;
+use actix_http::Uri;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::Stream;
 use futures_util::StreamExt;
+use log::warn;
 
-use cowslip_core::entry_router::TryFailure;
 use cowslip_core::refusal::RefusalReason;
-use cowslip_core::verdict::CallVerdict;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::http_reply::HttpReply;
 
+use crate::call_dialect::CallDialect;
 use crate::call_headers;
-use crate::call_pools::CallPools;
-use crate::call_pools::PoolClient;
+use crate::hop::AnswerBody;
+use crate::hop::HopAnswer;
+use crate::hop::HopRequest;
+
+/// Headers that one hop adds.
+pub type HopHeaders = Vec<(HeaderName, String)>;
 
 /// Bodies up to this size are held whole, so that a try that did not run
 /// can be repeated; larger ones stream and get one try.
@@ -52,27 +56,51 @@
     /// Method.
     pub method: Method,
     /// Path with its query.
-    pub target: String,
+    pub target: Uri,
     /// Headers that pass on.
     pub headers: HeaderMap,
 }
 
 impl CallParts {
-    /// The parts of `request`.
-    pub fn of(request: &Request) -> Self {
+    /// The parts of `request`, with its host, and without the headers that
+    /// `dialect` writes anew.
+    pub fn of(request: &Request, dialect: &CallDialect) -> Self {
         let mut headers = HeaderMap::new();
         for (name, value) in request.headers() {
-            if call_headers::passes_on(name) {
+            let passes = call_headers::passes_on(name) && !dialect.rewrites(name);
+            if passes || *name == HOST {
                 headers.append(name.clone(), value.clone());
             }
         }
-        let target = request.uri().path_and_query();
         Self {
             method: request.method().clone(),
-            target: target.map_or_else(|| "/".to_owned(), ToString::to_string),
+            target: request.uri().path_and_query().map_or_else(
+                || Uri::from_static("/"),
+                |target| Uri::from(target.clone()),
+            ),
             headers,
         }
     }
+
+    /// The request of one hop, with what it adds.
+    pub fn hop_request(&self, dialect: &CallDialect, added: HopHeaders) -> HopRequest {
+        let mut headers = self.headers.clone();
+        for (name, value) in added {
+            // Names and figures of our own are printable; a name that is not
+            // came from a document that validation let pass.
+            let Ok(value) = HeaderValue::from_str(&value) else {
+                warn!("event=header-unprintable process=node header={name}");
+                continue;
+            };
+            headers.insert(name, value);
+        }
+        HopRequest {
+            method: self.method.clone(),
+            target: self.target.clone(),
+            headers,
+            echoed: dialect.request_id.clone(),
+        }
+    }
 }
 
 /// A request's body on its way.
@@ -129,168 +157,78 @@
             Self::Spent => &[],
         }
     }
-
-    /// What the next try sends; empty once a stream was spent.
-    fn for_try(&mut self) -> BoxBody {
-        if let Self::Held(bytes) = self {
-            return BoxBody::new(bytes.clone());
-        }
-        let Self::Stream {
-            first,
-            length,
-            rest,
-        } = std::mem::replace(self, Self::Spent)
-        else {
-            return BoxBody::new(Bytes::new());
-        };
-        let head =
-            futures_util::stream::once(async move { Ok::<_, PayloadError>(first) });
-        let whole = head.chain(rest);
-        match length {
-            Some(length) => BoxBody::new(SizedStream::new(length, Box::pin(whole))),
-            None => BoxBody::new(BodyStream::new(Box::pin(whole))),
-        }
-    }
 }
 
 fn stated_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-/// Headers that one hop adds.
-pub type HopHeaders = Vec<(&'static str, String)>;
-
-/// Sends one try and waits for the answer's head up to `left`.
-pub async fn send(
-    pools: &CallPools,
-    address: SocketAddr,
-    parts: &CallParts,
-    added: HopHeaders,
-    body: &mut CallBody,
-    left: Duration,
-) -> Result<ClientResponse, TryFailure> {
-    let url = format!("http://{address}{}", parts.target);
-    let pool = pools.client(address);
-    let mut request = pool.client.request(parts.method.clone(), url);
-    for (name, value) in &parts.headers {
-        request = request.append_header((name.clone(), value.clone()));
-    }
-    for (name, value) in added {
-        request = request.insert_header((name, value));
-    }
-    let sending = request.send_body(body.for_try());
-    let mut watch = SilenceWatch {
-        pools,
-        pool: &pool,
-        began: Instant::now(),
-        left,
-        heard: false,
-    };
-    let ended = actix_rt::time::timeout(left, sending).await;
-    watch.heard = ended.is_ok();
-    match ended {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(error)) => Err(classify(&error)),
-        Err(_) => Err(TryFailure {
-            verdict: CallVerdict::MayHaveRun,
-            reason: RefusalReason::DeadlinePassed,
-        }),
-    }
-}
-
-/// Condemns the connections of a try that ended with its time and without a
-/// byte of an answer.
-///
-/// Guards against a try that is dropped just before its own timer fires:
-/// the node above gives up a moment earlier and closes its connection, and
-/// the silence of the one below would be forgotten, so that the next call
-/// is lost on it too. Being dropped counts from nine tenths of the time on.
-struct SilenceWatch<'a> {
-    pools: &'a CallPools,
-    pool: &'a PoolClient,
-    began: Instant,
-    left: Duration,
-    heard: bool,
-}
-
-impl Drop for SilenceWatch<'_> {
-    fn drop(&mut self) {
-        if !self.heard && self.began.elapsed() * 10 >= self.left * 9 {
-            self.pools.silent(self.pool);
-        }
-    }
-}
-
-fn classify(error: &SendRequestError) -> TryFailure {
-    match error {
-        // Guards against a server that dies with the request in its hands:
-        // the library reports that as a connector "disconnected", although
-        // the connection had stood and the request had left by then. Told as
-        // "not run", a non-idempotent call that ran would be repeated.
-        SendRequestError::Connect(ConnectError::Disconnected) => TryFailure {
-            verdict: CallVerdict::MayHaveRun,
-            reason: RefusalReason::ConnectionBroken,
-        },
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => TryFailure {
-            verdict: CallVerdict::NotRun,
-            reason: RefusalReason::ConnectFailed,
-        },
-        _ => TryFailure {
-            verdict: CallVerdict::MayHaveRun,
-            reason: RefusalReason::ConnectionBroken,
-        },
-    }
-}
-
 /// Turns the next hop's answer into ours; `on_end` is dropped when the body
-/// has been passed on or given up.
+/// has been passed on or given up. A body that is still on its way at
+/// `give_up_at` is cut.
 pub fn pass_back<G: 'static>(
-    response: ClientResponse,
+    answer: HopAnswer,
     method: &Method,
+    give_up_at: BootInstant,
     on_end: G,
 ) -> HttpReply {
-    let mut reply = Response::new(response.status());
-    for (name, value) in response.headers() {
+    let HopAnswer { head, body } = answer;
+    let mut reply = Response::new(head.status);
+    for (name, value) in &head.headers {
         if call_headers::passes_on(name) {
             reply.headers_mut().append(name.clone(), value.clone());
         }
     }
-    let length = stated_length(response.headers());
-    let body = AnswerBody {
-        length,
-        without: *method == Method::HEAD,
-        response,
+    let length = stated_length(&head.headers);
+    if *method == Method::HEAD {
+        return reply.set_body(BoxBody::new(HeadBody(length)));
+    }
+    let passed = PassedBody {
+        body,
+        give_up_at,
         _on_end: on_end,
     };
-    reply.set_body(BoxBody::new(body))
+    let parts = Box::pin(passed.into_parts());
+    reply.set_body(match length {
+        Some(length) => BoxBody::new(SizedStream::new(length, parts)),
+        None => BoxBody::new(BodyStream::new(parts)),
+    })
 }
 
-/// The next hop's answer, streamed as it arrives.
-struct AnswerBody<G> {
-    length: Option<u64>,
-    without: bool,
-    response: ClientResponse,
+/// The next hop's answer, passed on as it arrives.
+struct PassedBody<G> {
+    body: AnswerBody,
+    give_up_at: BootInstant,
     _on_end: G,
 }
 
-// Nothing in it is pinned in place: the response may move between polls.
-impl<G> Unpin for AnswerBody<G> {}
+impl<G: 'static> PassedBody<G> {
+    fn into_parts(self) -> impl Stream<Item = Result<Bytes, PayloadError>> {
+        futures_util::stream::try_unfold(self, |mut passed| async move {
+            let left = passed
+                .give_up_at
+                .saturating_duration_since(BootInstant::now());
+            let next = actix_rt::time::timeout(left, passed.body.next_part());
+            let part = next.await.map_err(|_| PayloadError::Incomplete(None))??;
+            Ok(part.map(|part| (part, passed)))
+        })
+    }
+}
 
-impl<G> MessageBody for AnswerBody<G> {
+/// The body of an answer to HEAD: none, of a stated length.
+struct HeadBody(Option<u64>);
+
+impl MessageBody for HeadBody {
     type Error = PayloadError;
 
     fn size(&self) -> BodySize {
-        match self.length {
-            Some(length) => BodySize::Sized(length),
-            None if self.without => BodySize::None,
-            None => BodySize::Stream,
-        }
+        self.0.map_or(BodySize::None, BodySize::Sized)
     }
 
     fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.response).poll_next(cx)
+        Poll::Ready(None)
     }
 }
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -26,6 +26,14 @@
 pub const INNER: &str = "cowslip-inner";
 /// Between nodes: 1 where the backend server is past its cold start.
 pub const WARM: &str = "cowslip-warm";
+/// Names a request; backend servers echo it.
+pub const REQUEST_ID: &str = "cowslip-request-id";
+/// To a backend server: the run of it that the request is meant for.
+pub const SERVER_RUN: &str = "cowslip-server-run";
+/// Service beside whose node the request came in.
+pub const CALLER_SERVICE: &str = "cowslip-caller";
+/// From a backend server: the request has not run and will not.
+pub const NOT_RUN: &str = "cowslip-not-run";
 /// Names a non-idempotent call, so that a resend does not run again.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -53,7 +61,7 @@
 
 /// Headers that each hop writes anew, so a caller's or a backend server's
 /// own are never passed on.
-const REWRITTEN: [&str; 14] = [
+const REWRITTEN: [&str; 16] = [
     "host",
     "content-length",
     "expect",
@@ -68,6 +76,8 @@
     INNER,
     WARM,
     REPLAYED,
+    SERVER_RUN,
+    CALLER_SERVICE,
 ];
 
 /// Whether a header goes on to the next hop as it is.
@@ -95,7 +105,15 @@
 
 /// The time that the caller gives; `None` where it says nothing.
 pub fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, BadDeadline> {
-    let Some(value) = headers.get(DEADLINE_MS) else {
+    deadline_in(headers, &HeaderName::from_static(DEADLINE_MS))
+}
+
+/// The same, under another name of the header.
+pub fn deadline_in(
+    headers: &HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<Duration>, BadDeadline> {
+    let Some(value) = headers.get(name) else {
         return Ok(None);
     };
     let text = value.to_str().map_err(|_| BadDeadline)?;
--- a/crates/node/src/call_pools.rs
+++ b/crates/node/src/call_pools.rs
@@ -1,42 +1,31 @@
 //! Kept connections for calls, one set for each server.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
-use awc::Client;
 use log::info;
 
 use cowslip_core::connection_care::ConnectionCare;
 use cowslip_core::connection_care::PoolGeneration;
-use cowslip_core::connection_care::CONNECTIONS_PER_SERVER;
-use cowslip_wire::plain_client;
-use cowslip_wire::plain_client::ClientPlan;
+use cowslip_core::entry_router::TryFailure;
+use cowslip_wire::boot_instant::BootInstant;
+
+use crate::call_forward::CallBody;
+use crate::hop::HopAnswer;
+use crate::hop::HopClient;
+use crate::hop::HopPlan;
+use crate::hop::HopRequest;
 
 /// Time to connect to another node or the backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Idle connections are dropped well before the other side closes them at
-/// 75 s, so that no call is sent on one that is just being closed.
-const IDLE_TIME: Duration = Duration::from_secs(15);
-
 /// Sets of connections by server.
 pub struct CallPools {
     care: RefCell<ConnectionCare>,
-    clients: RefCell<HashMap<SocketAddr, PoolClient>>,
-    started: Instant,
-}
-
-/// One set of connections to one server.
-#[derive(Clone)]
-pub struct PoolClient {
-    /// Sends on it.
-    pub client: Client,
-    server: SocketAddr,
-    generation: PoolGeneration,
+    client: HopClient,
+    started: BootInstant,
 }
 
 impl CallPools {
@@ -44,50 +33,72 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             care: RefCell::new(ConnectionCare::default()),
-            clients: RefCell::new(HashMap::new()),
-            started: Instant::now(),
+            client: HopClient::new(HopPlan {
+                connect: CONNECT_TIMEOUT,
+            }),
+            started: BootInstant::now(),
         })
     }
 
-    /// The set to use for a call to `server` now.
-    pub fn client(&self, server: SocketAddr) -> PoolClient {
+    /// Sends one try and waits for the answer's head up to `left`.
+    pub async fn send(
+        &self,
+        server: SocketAddr,
+        request: &HopRequest,
+        body: &mut CallBody,
+        left: Duration,
+    ) -> Result<HopAnswer, TryFailure> {
+        let generation = self.begin(server);
+        let mut watch = SilenceWatch {
+            pools: self,
+            server,
+            generation,
+            began: BootInstant::now(),
+            left,
+            heard: false,
+        };
+        let sending = self.client.send(server, generation, request, body, left);
+        let ended = sending.await;
+        watch.heard = ended.as_ref().map_or_else(TryFailure::was_heard, |_| true);
+        ended
+    }
+
+    fn begin(&self, server: SocketAddr) -> PoolGeneration {
         let now = self.started.elapsed();
         let mut care = self.care.borrow_mut();
-        let mut clients = self.clients.borrow_mut();
         for forgotten in care.sweep(now) {
-            clients.remove(&forgotten);
-        }
-        let generation = care.begin(now, server);
-        if let Some(held) = clients.get(&server) {
-            if held.generation == generation {
-                return held.clone();
-            }
+            self.client.forget(forgotten);
         }
-        let pool = PoolClient {
-            client: call_client(),
-            server,
-            generation,
-        };
-        clients.insert(server, pool.clone());
-        pool
+        care.begin(now, server)
     }
+}
+
+/// Condemns the connections of a try that ended with its time and without a
+/// byte of an answer.
+///
+/// Guards against a try that is dropped just before its own timer fires:
+/// the node above gives up a moment earlier and closes its connection, and
+/// the silence of the one below would be forgotten, so that the next call
+/// is lost on it too. Being dropped counts from nine tenths of the time on.
+struct SilenceWatch<'a> {
+    pools: &'a CallPools,
+    server: SocketAddr,
+    generation: PoolGeneration,
+    began: BootInstant,
+    left: Duration,
+    heard: bool,
+}
 
-    /// A call on `pool` ended without a byte of an answer.
-    pub fn silent(&self, pool: &PoolClient) {
+impl Drop for SilenceWatch<'_> {
+    fn drop(&mut self) {
+        if self.heard || self.began.elapsed() * 10 < self.left * 9 {
+            return;
+        }
         info!(
             "event=connection-silent process=node server={}",
-            pool.server
+            self.server
         );
-        let mut care = self.care.borrow_mut();
-        care.silent(pool.server, pool.generation);
+        let mut care = self.pools.care.borrow_mut();
+        care.silent(self.server, self.generation);
     }
 }
-
-/// A client for the calls to one server.
-fn call_client() -> Client {
-    plain_client::build(ClientPlan {
-        connect: CONNECT_TIMEOUT,
-        idle: IDLE_TIME,
-        connections: CONNECTIONS_PER_SERVER,
-    })
-}
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
+use actix_http::header::HeaderName;
+use actix_http::header::HOST;
 use actix_http::ConnectionType;
 use actix_http::HttpMessage;
 use actix_http::Request;
 use actix_http::StatusCode;
-use awc::ClientResponse;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -29,14 +29,17 @@
 use cowslip_core::verdict::CallVerdict;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::access_key::KEY_HEADER;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::ReplyFuture;
 use cowslip_wire::http_reply;
 use cowslip_wire::http_reply::HttpReply;
 
+use crate::call_dialect::CallDialect;
 use crate::call_forward;
 use crate::call_forward::CallBody;
 use crate::call_forward::CallParts;
+use crate::call_forward::HopHeaders;
 use crate::call_headers;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
@@ -48,12 +51,21 @@
 use crate::entry_task::OwnedHead;
 use crate::entry_task::PlannedTry;
 use crate::entry_task::TryAnswer;
+use crate::hop::HopAnswer;
 use crate::keyed_call;
 
+/// Bytes of an answer that are held before any is passed on. Lookups answer
+/// with some kilobytes; nine nodes with 110 MB each hold 50 of this size.
+const HELD_ANSWER_MAX: usize = 128 * 1024;
+
 /// What every call of the entry side needs.
 pub struct EntryDesk {
     /// Sends calls to other nodes.
     pub pools: Rc<CallPools>,
+    /// How callers read and write headers.
+    pub dialect: Rc<CallDialect>,
+    /// Service of the backend server beside this node, where it is told.
+    pub service: Option<Arc<str>>,
     /// Key between nodes.
     pub system_key: AccessKey,
     /// The routing task.
@@ -64,25 +76,35 @@
     pub metrics: CallMetrics,
 }
 
+/// Where a node stands in its planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeStage {
+    /// It serves.
+    Open,
+    /// It serves still, and says that it leaves.
+    Leaving,
+    /// It refuses new calls; what is in flight ends.
+    Stopping,
+}
+
 /// Serves one listener's calls.
 pub struct EntryHandler {
     desk: Rc<EntryDesk>,
     origin: CallOrigin,
-    stopping: Rc<Cell<bool>>,
+    stage: Rc<Cell<NodeStage>>,
 }
 
 impl EntryHandler {
-    /// A handler for calls that come from `origin`; it refuses new ones once
-    /// `stopping` is set.
+    /// A handler for calls that come from `origin`, at a node in `stage`.
     pub fn new(
         desk: Rc<EntryDesk>,
         origin: CallOrigin,
-        stopping: Rc<Cell<bool>>,
+        stage: Rc<Cell<NodeStage>>,
     ) -> Self {
         Self {
             desk,
             origin,
-            stopping,
+            stage,
         }
     }
 }
@@ -91,10 +113,11 @@
     fn handle(&self, request: Request) -> ReplyFuture {
         let desk = Rc::clone(&self.desk);
         let origin = self.origin;
-        let stopping = Rc::clone(&self.stopping);
+        let stage = Rc::clone(&self.stage);
         Box::pin(async move {
-            let mut reply = desk.serve(request, origin, stopping.get()).await;
-            if stopping.get() {
+            let stopping = stage.get() == NodeStage::Stopping;
+            let mut reply = desk.serve(request, origin, stopping).await;
+            if stage.get() != NodeStage::Open {
                 let head = reply.head_mut();
                 head.set_connection_type(ConnectionType::Close);
             }
@@ -104,14 +127,20 @@
 }
 
 /// The answer to a call that is not served.
-pub fn refusal_reply(refusal: CallRefusal) -> HttpReply {
-    let status = StatusCode::from_u16(refusal.reason.status());
+pub fn refusal_reply(refusal: CallRefusal, dialect: &CallDialect) -> HttpReply {
+    let status = StatusCode::from_u16(refusal.reason.status_for(refusal.verdict));
     let status = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let mut reply = http_reply::text(status, refusal.reason.as_str());
     http_reply::set_header(&mut reply, call_headers::VERDICT, refusal.verdict.as_str());
     http_reply::set_header(&mut reply, call_headers::REASON, refusal.reason.as_str());
-    if let Some(after) = retry_advice::retry_after(refusal.reason, &mut rand::rng()) {
-        let seconds = after.as_secs().to_string();
+    let later = matches!(status.as_u16(), 429 | 503);
+    let after = retry_advice::retry_after(refusal.reason, &mut rand::rng());
+    if let Some(after) = after.filter(|_| later) {
+        let seconds = if dialect.fractions {
+            format!("{:.2}", after.as_secs_f64())
+        } else {
+            after.as_secs().to_string()
+        };
         http_reply::set_header(&mut reply, "retry-after", &seconds);
     }
     reply
@@ -140,7 +169,7 @@
             }
             Err(refusal) => {
                 self.metrics.refused(refusal.reason);
-                refusal_reply(refusal)
+                refusal_reply(refusal, &self.dialect)
             }
         }
     }
@@ -151,7 +180,8 @@
         origin: CallOrigin,
         stopping: bool,
     ) -> Result<HttpReply, CallRefusal> {
-        let deadline = call_headers::deadline(request.headers());
+        let named = &self.dialect.deadline_ms;
+        let deadline = call_headers::deadline_in(request.headers(), named);
         let deadline = deadline.map_err(|_| not_run(RefusalReason::BadHeader))?;
         let customer = http_reply::header(&request, call_headers::CUSTOMER);
         let customer = customer.unwrap_or_default();
@@ -161,13 +191,14 @@
         let key = keyed_call::key_of(&request).map_err(not_run)?;
         let named = Arc::<str>::from(customer);
         let head = OwnedHead {
+            host: host_of(&request),
             path: request.path().to_owned(),
             origin,
             customer: customer.to_owned(),
             idempotent: call_headers::is_idempotent(request.method()),
             deadline,
         };
-        let parts = CallParts::of(&request);
+        let parts = CallParts::of(&request, &self.dialect);
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
         let path = request.path();
         let call = key.map(|key| KeyedCall::new(&named, path, &key, &parts, &body));
@@ -255,13 +286,14 @@
     ) -> Result<HttpReply, CallRefusal> {
         loop {
             let mut guard = TryGuard::new(self.entry.clone(), &planned);
-            let started = Instant::now();
+            let started = BootInstant::now();
             let tried = self.attempt(&planned, parts, body).await;
             self.measure(&planned, started.elapsed(), &tried).await;
             let failure = match tried {
-                Ok(response) => {
-                    guard.answered(&planned.plan, &response, started.elapsed());
-                    return Ok(pass_answer(response, parts, guard));
+                Ok(answer) => {
+                    guard.answered(&planned.plan, &answer, started.elapsed());
+                    let give_up_at = started + planned.left;
+                    return Ok(pass_answer(answer, parts, give_up_at, guard));
                 }
                 Err(failure) => failure,
             };
@@ -303,31 +335,57 @@
         planned: &PlannedTry,
         parts: &CallParts,
         body: &mut CallBody,
-    ) -> Result<ClientResponse, TryFailure> {
-        let left = deadline_budget::for_next_hop(planned.left);
+    ) -> Result<HopAnswer, TryFailure> {
+        let request = parts.hop_request(&self.dialect, self.peer_headers(planned));
+        let address = planned.server.address;
+        let give_up_at = BootInstant::now() + planned.left;
+        let sending = self.pools.send(address, &request, body, planned.left);
+        let mut answer = sending.await?;
+        // Short answers are held until they are whole: one that breaks off
+        // can then still be asked for again, where that does no harm.
+        let left = give_up_at.saturating_duration_since(BootInstant::now());
+        let holding = answer.body.hold(HELD_ANSWER_MAX);
+        let held = actix_rt::time::timeout(left, holding).await;
+        let broken = match held {
+            Ok(Ok(_)) => None,
+            Ok(Err(_)) => Some(RefusalReason::ConnectionBroken),
+            Err(_) => Some(RefusalReason::DeadlinePassed),
+        };
+        if let Some(failure) = refused_by_peer(&answer) {
+            return Err(failure);
+        }
+        match broken {
+            Some(reason) => Err(TryFailure {
+                verdict: CallVerdict::MayHaveRun,
+                reason,
+            }),
+            None => Ok(answer),
+        }
+    }
+
+    fn peer_headers(&self, planned: &PlannedTry) -> HopHeaders {
         let plan = &planned.plan;
-        let mut added = vec![
+        let left = deadline_budget::for_next_hop(planned.left);
+        let waited_ms = planned.waited.as_millis().to_string();
+        let mut told = vec![
             (KEY_HEADER, self.system_key.secret().to_owned()),
             (call_headers::SERVICE, plan.service.to_string()),
             (call_headers::ROUTE, plan.route.to_string()),
             (call_headers::PRIORITY, plan.priority.as_str().to_owned()),
-            (
-                call_headers::WAITED_MS,
-                planned.waited.as_millis().to_string(),
-            ),
+            (call_headers::WAITED_MS, waited_ms),
             (call_headers::DEADLINE_MS, left.as_millis().to_string()),
         ];
         if plan.origin == CallOrigin::Backend {
-            added.push((call_headers::INNER, "1".to_owned()));
+            told.push((call_headers::INNER, "1".to_owned()));
         }
-        let address = planned.server.address;
-        let response =
-            call_forward::send(&self.pools, address, parts, added, body, planned.left)
-                .await?;
-        match refused_by_peer(&response) {
-            Some(failure) => Err(failure),
-            None => Ok(response),
+        if let Some(service) = &self.service {
+            told.push((call_headers::CALLER_SERVICE, service.to_string()));
+        }
+        let mut added = Vec::new();
+        for (name, value) in told {
+            added.push((HeaderName::from_static(name), value));
         }
+        added
     }
 
     /// Counts a try of a service under a move as evidence.
@@ -335,15 +393,15 @@
         &self,
         planned: &PlannedTry,
         took: Duration,
-        tried: &Result<ClientResponse, TryFailure>,
+        tried: &Result<HopAnswer, TryFailure>,
     ) {
         if !planned.measured {
             return;
         }
         let (end, warm) = match tried {
-            Ok(response) => {
-                let warm = response.headers().get(call_headers::WARM);
-                let status = response.status().as_u16();
+            Ok(answer) => {
+                let warm = answer.head.headers().get(call_headers::WARM);
+                let status = answer.head.status.as_u16();
                 let warm = warm.is_some_and(|value| value == "1");
                 (TryEnd::of_status(status), warm)
             }
@@ -367,20 +425,33 @@
     }
 }
 
+/// Host that the caller names, without a port.
+fn host_of(request: &Request) -> String {
+    let named = http_reply::header(request, HOST.as_str());
+    let authority = request
+        .uri()
+        .authority()
+        .map(|authority| authority.as_str());
+    let host = authority.or(named).unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
 fn pass_answer(
-    response: ClientResponse,
+    answer: HopAnswer,
     parts: &CallParts,
+    give_up_at: BootInstant,
     guard: TryGuard,
 ) -> HttpReply {
-    let mut reply = call_forward::pass_back(response, &parts.method, guard);
+    let mut reply = call_forward::pass_back(answer, &parts.method, give_up_at, guard);
     let verdict = CallVerdict::Ran.as_str();
     http_reply::set_header(&mut reply, call_headers::VERDICT, verdict);
     reply
 }
 
 /// What the server's node says where no backend server answered.
-fn refused_by_peer(response: &ClientResponse) -> Option<TryFailure> {
-    let text = |name: &str| response.headers().get(name)?.to_str().ok();
+fn refused_by_peer(answer: &HopAnswer) -> Option<TryFailure> {
+    let text = |name: &str| answer.head.headers().get(name)?.to_str().ok();
     let verdict = CallVerdict::parse(text(call_headers::VERDICT)?)?;
     if verdict == CallVerdict::Ran {
         return None;
@@ -408,7 +479,7 @@
     }
 
     /// The answer's head is there, `taken` after the try's start.
-    fn answered(&mut self, plan: &CallPlan, response: &ClientResponse, taken: Duration) {
+    fn answered(&mut self, plan: &CallPlan, answer: &HopAnswer, taken: Duration) {
         let Some(EntryMessage::Abandoned(instance)) = self.message.take() else {
             return;
         };
@@ -418,7 +489,7 @@
             route: Arc::clone(&plan.route),
             customer: Arc::clone(&plan.customer),
             priority: plan.priority,
-            status: response.status().as_u16(),
+            status: answer.head.status.as_u16(),
             taken,
         }));
     }
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -1,10 +1,11 @@
 //! The task that owns the entry side's routing state.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use log::info;
 use log::warn;
@@ -30,6 +31,7 @@
 use cowslip_core::rollout::node_guard::EndedTry;
 use cowslip_core::verdict::CallVerdict;
 use cowslip_core::version::ConfigVersion;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
@@ -42,6 +44,8 @@
 /// A call's head, owned, as it goes to the task.
 #[derive(Debug)]
 pub struct OwnedHead {
+    /// Host that the caller names, without a port.
+    pub host: String,
     /// Path without the query.
     pub path: String,
     /// Listener it came in by.
@@ -127,17 +131,19 @@
     failure_domain: Arc<str>,
     router: EntryRouter,
     gate: mpsc::UnboundedSender<GateMessage>,
+    configured: Rc<Cell<bool>>,
     refused: Option<ConfigVersion>,
-    heard: Option<Instant>,
-    started: Instant,
+    heard: Option<BootInstant>,
+    started: BootInstant,
     incarnation: u64,
 }
 
-/// Starts the task.
+/// Starts the task; `configured` is set once a configuration is in force.
 pub fn spawn(
     instance: Arc<str>,
     failure_domain: Arc<str>,
     gate: mpsc::UnboundedSender<GateMessage>,
+    configured: Rc<Cell<bool>>,
     seed: u64,
 ) -> mpsc::Sender<EntryMessage> {
     let (sender, receiver) = mpsc::channel(MESSAGES_MAX);
@@ -145,11 +151,12 @@
         incarnation: wall_clock::millis(),
         router: EntryRouter::new(Arc::clone(&failure_domain), seed),
         gate,
+        configured,
         instance,
         failure_domain,
         refused: None,
         heard: None,
-        started: Instant::now(),
+        started: BootInstant::now(),
     };
     actix_rt::spawn(task.run(receiver));
     sender
@@ -191,7 +198,7 @@
             EntryMessage::Report(reply) => {
                 let _ = reply.send(self.report());
             }
-            EntryMessage::Heard => self.heard = Some(Instant::now()),
+            EntryMessage::Heard => self.heard = Some(BootInstant::now()),
             EntryMessage::Holders(key, reply) => {
                 let _ = reply.send(self.holders(&key));
             }
@@ -209,6 +216,7 @@
     fn admit(&mut self, head: &OwnedHead) -> TryAnswer {
         let now = self.started.elapsed();
         let head = CallHead {
+            host: &head.host,
             path: &head.path,
             origin: head.origin,
             customer: &head.customer,
@@ -273,6 +281,7 @@
                     "event=version-applied process=node instance={} failure_domain={} version={version}",
                     self.instance, self.failure_domain
                 );
+                self.configured.set(true);
                 self.configure_gate();
             }
             Ok(false) => {}
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -5,9 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
-use actix_rt::time::sleep_until;
+use actix_rt::time::sleep;
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -26,6 +25,11 @@
 use cowslip_core::server_gate::SlotOutcome;
 use cowslip_core::server_presence::PresenceRefusal;
 use cowslip_core::server_presence::ServerPresence;
+use cowslip_core::server_runs::ReportEffect;
+use cowslip_core::server_runs::RunReport;
+use cowslip_core::server_runs::ServerRuns;
+use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
 use crate::server_probe;
@@ -43,12 +47,25 @@
 }
 
 /// A slot for one call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct SlotGrant {
     /// Where the backend server listens.
     pub server: SocketAddr,
     /// True where the backend server is past its cold start.
     pub warm: bool,
+    /// Run of the backend server, where it names its runs.
+    pub run: Option<Arc<str>>,
+}
+
+/// What a backend server that reports itself over and over says.
+#[derive(Clone, Debug)]
+pub struct ServerReport {
+    /// Its run.
+    pub run: RunReport,
+    /// What it runs.
+    pub server: AnnouncedServer,
+    /// Where it listens.
+    pub address: SocketAddr,
 }
 
 /// What became of an announcement.
@@ -62,6 +79,10 @@
 pub enum GateMessage {
     /// The backend server announced itself; it listens at the address.
     Announce(AnnouncedServer, SocketAddr, oneshot::Sender<AnnounceAnswer>),
+    /// The backend server reports itself; answered once it is in force here.
+    Report(ServerReport, oneshot::Sender<()>),
+    /// The run of this name, started at this time where known, has left.
+    Left(Arc<str>, Option<u64>, oneshot::Sender<()>),
     /// The backend server is leaving.
     Drain,
     /// The whole node is leaving.
@@ -93,11 +114,12 @@
     place: GatePlace,
     gate: ServerGate,
     presence: ServerPresence,
+    runs: ServerRuns,
     probing: bool,
     own: mpsc::WeakUnboundedSender<GateMessage>,
     bounds: GateBounds,
     askers: HashMap<CallTicket, oneshot::Sender<SlotAnswer>>,
-    started: Instant,
+    started: BootInstant,
     server: Option<SocketAddr>,
     cold_start: ColdStart,
     announcer: EndpointAnnouncer,
@@ -116,11 +138,12 @@
         place,
         gate: ServerGate::default(),
         presence: ServerPresence::default(),
+        runs: ServerRuns::default(),
         probing: false,
         own: sender.downgrade(),
         bounds: GateBounds::new(),
         askers: HashMap::new(),
-        started: Instant::now(),
+        started: BootInstant::now(),
         server: None,
         cold_start: ColdStart::default(),
         announcer: EndpointAnnouncer::new(wall_clock::millis()),
@@ -152,6 +175,17 @@
             GateMessage::Announce(server, address, reply) => {
                 let _ = reply.send(self.announce(now, server, address));
             }
+            GateMessage::Report(report, reply) => {
+                self.report(now, report);
+                let _ = reply.send(());
+            }
+            GateMessage::Left(run, born_ms, reply) => {
+                if self.runs.leave(&run, born_ms) {
+                    self.presence.drain(now);
+                    self.withdraw("left");
+                }
+                let _ = reply.send(());
+            }
             GateMessage::Stop => {
                 self.presence.stop();
                 self.withdraw("stopping");
@@ -212,6 +246,65 @@
         Ok(())
     }
 
+    fn report(&mut self, now: Duration, report: ServerReport) {
+        let run = Arc::clone(&report.run.run);
+        match self.runs.hear(report.run) {
+            ReportEffect::Stale => {
+                info!(
+                    "event=report-stale process=node instance={} run={run}",
+                    self.place.instance
+                );
+            }
+            ReportEffect::Begins => self.begin_run(&run, report.server, report.address),
+            ReportEffect::GoesOn => self.go_on(report.server),
+            ReportEffect::Leaves => {
+                if !self.gate.is_draining() {
+                    self.presence.drain(now);
+                    self.withdraw("draining");
+                }
+            }
+        }
+    }
+
+    fn begin_run(
+        &mut self,
+        run: &Arc<str>,
+        server: AnnouncedServer,
+        address: SocketAddr,
+    ) {
+        if let Err(refusal) = self.presence.begin_run(address) {
+            info!(
+                "event=run-refused process=node instance={} run={run} reason={}",
+                self.place.instance,
+                LogValue(refusal)
+            );
+            return;
+        }
+        info!(
+            "event=run-begins process=node instance={} run={run} service={} version={} slots={}",
+            self.place.instance, server.service, server.version, server.slots
+        );
+        self.cold_start.restart();
+        self.gate.announce(server);
+        self.configure();
+        self.server = Some(address);
+        self.publish();
+    }
+
+    /// A run that was lost reports again, or says something new of itself.
+    fn go_on(&mut self, server: AnnouncedServer) {
+        let back = self.presence.reachable();
+        if !back && self.gate.announced() == Some(&server) {
+            return;
+        }
+        if self.gate.is_draining() && !back {
+            return;
+        }
+        self.gate.announce(server);
+        self.configure();
+        self.publish();
+    }
+
     /// No new work from now on; what waits is sent elsewhere.
     fn withdraw(&mut self, event: &str) {
         info!(
@@ -275,6 +368,7 @@
         Ok(SlotGrant {
             server,
             warm: self.cold_start.grant(),
+            run: self.runs.run().cloned(),
         })
     }
 
@@ -321,9 +415,9 @@
 }
 
 /// Ends when the gate has something to do, or never.
-async fn wake_at(started: Instant, at: Option<Duration>) {
+async fn wake_at(started: BootInstant, at: Option<Duration>) {
     match at {
-        Some(at) => sleep_until((started + at).into()).await,
+        Some(at) => sleep(at.saturating_sub(started.elapsed())).await,
         None => std::future::pending().await,
     }
 }
--- /dev/null
+++ b/crates/node/src/hop.rs
@@ -0,0 +1,19 @@
+//! Calls to the next hop, another node or the backend server, over
+//! connections of our own.
+//!
+//! The HTTP library's codec reads and writes; when a connection may be used
+//! again, and which answer belongs to which request, is decided here, since
+//! the library's pool cannot be told. One request is in flight on each.
+
+pub use self::answer_body::AnswerBody;
+pub use self::answer_body::AnswerBreak;
+pub use self::hop_client::HopAnswer;
+pub use self::hop_client::HopClient;
+pub use self::hop_client::HopPlan;
+pub use self::hop_request::HopRequest;
+
+mod answer_body;
+mod hop_client;
+mod hop_connection;
+mod hop_request;
+mod idle_shelf;
--- /dev/null
+++ b/crates/node/src/hop/answer_body.rs
@@ -0,0 +1,72 @@
+//! The body of an answer, read as it is wanted.
+
+use std::rc::Rc;
+
+use actix_http::error::PayloadError;
+use bytes::Bytes;
+use bytes::BytesMut;
+
+use crate::hop::hop_connection::HopConnection;
+use crate::hop::idle_shelf::IdleShelf;
+
+/// An answer that broke off before its end.
+pub type AnswerBreak = PayloadError;
+
+/// The rest of an answer; dropped early, it ends its connection, so that the
+/// other side learns that nobody waits any more.
+pub struct AnswerBody {
+    held: Bytes,
+    connection: Option<HopConnection>,
+    shelf: Rc<IdleShelf>,
+}
+
+impl AnswerBody {
+    pub(super) fn new(connection: HopConnection, shelf: Rc<IdleShelf>) -> Self {
+        Self {
+            held: Bytes::new(),
+            connection: Some(connection),
+            shelf,
+        }
+    }
+
+    /// The next part; `None` at the end.
+    pub async fn next_part(&mut self) -> Result<Option<Bytes>, AnswerBreak> {
+        if !self.held.is_empty() {
+            return Ok(Some(std::mem::take(&mut self.held)));
+        }
+        let Some(connection) = &mut self.connection else {
+            return Ok(None);
+        };
+        let part = connection.next_part().await;
+        if matches!(part, Ok(Some(_))) {
+            return part;
+        }
+        if let Some(mut connection) = self.connection.take() {
+            if part.is_ok() && connection.is_reusable() {
+                connection.rest();
+                self.shelf.put(connection);
+            }
+        }
+        part
+    }
+
+    /// Reads up to `limit` bytes ahead. True where that was all: the answer
+    /// is whole, and its connection free again.
+    pub async fn hold(&mut self, limit: usize) -> Result<bool, AnswerBreak> {
+        let mut held = BytesMut::new();
+        while held.len() < limit {
+            let Some(part) = self.next_part().await? else {
+                self.held = held.freeze();
+                return Ok(true);
+            };
+            held.extend_from_slice(&part);
+        }
+        self.held = held.freeze();
+        Ok(false)
+    }
+
+    /// Bytes that were read ahead.
+    pub fn held(&self) -> &Bytes {
+        &self.held
+    }
+}
--- /dev/null
+++ b/crates/node/src/hop/hop_client.rs
@@ -0,0 +1,155 @@
+//! Sends requests to the next hop and gives back answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::h1::ClientCodec;
+use actix_http::ResponseHead;
+use actix_http::ServiceConfig;
+use log::info;
+
+use cowslip_core::connection_care::PoolGeneration;
+use cowslip_core::entry_router::TryFailure;
+use cowslip_core::refusal::RefusalReason;
+use cowslip_core::verdict::CallVerdict;
+use cowslip_wire::process_log::LogValue;
+
+use crate::call_forward::CallBody;
+use crate::hop::answer_body::AnswerBody;
+use crate::hop::hop_connection::ExchangeError;
+use crate::hop::hop_connection::HopConnection;
+use crate::hop::hop_request::HopRequest;
+use crate::hop::idle_shelf::IdleShelf;
+
+/// What differs between hops.
+#[derive(Clone, Copy, Debug)]
+pub struct HopPlan {
+    /// Time to connect.
+    pub connect: Duration,
+}
+
+/// An answer whose head has arrived.
+pub struct HopAnswer {
+    /// Status and headers.
+    pub head: ResponseHead,
+    /// The rest.
+    pub body: AnswerBody,
+}
+
+/// Connections to next hops.
+pub struct HopClient {
+    plan: HopPlan,
+    config: ServiceConfig,
+    shelf: Rc<IdleShelf>,
+}
+
+impl HopClient {
+    /// No connections yet.
+    pub fn new(plan: HopPlan) -> Self {
+        Self {
+            plan,
+            config: ServiceConfig::default(),
+            shelf: Rc::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer up to `left`.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        generation: PoolGeneration,
+        request: &HopRequest,
+        body: &mut CallBody,
+        left: Duration,
+    ) -> Result<HopAnswer, TryFailure> {
+        let mut stage = SendStage::Connecting;
+        let sending = self.send_at_once(address, generation, request, body, &mut stage);
+        match actix_rt::time::timeout(left, sending).await {
+            Ok(answer) => answer,
+            Err(_) => Err(stage.out_of_time()),
+        }
+    }
+
+    async fn send_at_once(
+        &self,
+        address: SocketAddr,
+        generation: PoolGeneration,
+        request: &HopRequest,
+        body: &mut CallBody,
+        stage: &mut SendStage,
+    ) -> Result<HopAnswer, TryFailure> {
+        let mut connection = match self.shelf.take(address, generation) {
+            Some(connection) => connection,
+            None => self.connect(address, generation).await?,
+        };
+        *stage = SendStage::Sending;
+        match connection.exchange(request, body).await {
+            Ok(head) => Ok(HopAnswer {
+                head,
+                body: AnswerBody::new(connection, Rc::clone(&self.shelf)),
+            }),
+            Err(ExchangeError::BodyBroken) => {
+                Err(may_have_run(RefusalReason::BodyTruncated))
+            }
+            Err(error) => {
+                info!(
+                    "event=exchange-broken process=node to={address} error={}",
+                    LogValue(error)
+                );
+                // What ended one connection has often ended the others too.
+                self.shelf.clear(address);
+                Err(may_have_run(RefusalReason::ConnectionBroken))
+            }
+        }
+    }
+
+    /// Drops idle connections to an address that is not used any more.
+    pub fn forget(&self, address: SocketAddr) {
+        self.shelf.clear(address);
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        generation: PoolGeneration,
+    ) -> Result<HopConnection, TryFailure> {
+        let codec = ClientCodec::new(self.config.clone());
+        let opening = HopConnection::open(address, generation, codec);
+        let opened = actix_rt::time::timeout(self.plan.connect, opening).await;
+        match opened {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(_)) | Err(_) => Err(TryFailure {
+                verdict: CallVerdict::NotRun,
+                reason: RefusalReason::ConnectFailed,
+            }),
+        }
+    }
+}
+
+fn may_have_run(reason: RefusalReason) -> TryFailure {
+    TryFailure {
+        verdict: CallVerdict::MayHaveRun,
+        reason,
+    }
+}
+
+/// How far a send has come when its time runs out.
+#[derive(Clone, Copy)]
+enum SendStage {
+    Connecting,
+    Sending,
+}
+
+impl SendStage {
+    fn out_of_time(self) -> TryFailure {
+        let verdict = match self {
+            Self::Connecting => CallVerdict::NotRun,
+            Self::Sending => CallVerdict::MayHaveRun,
+        };
+        TryFailure {
+            verdict,
+            reason: RefusalReason::DeadlinePassed,
+        }
+    }
+}
--- a/crates/node/src/keyed_call.rs
+++ b/crates/node/src/keyed_call.rs
@@ -63,9 +63,10 @@
         parts: &CallParts,
         body: &CallBody,
     ) -> Self {
+        let target = parts.target.to_string();
         let digested = [
             parts.method.as_str().as_bytes(),
-            parts.target.as_bytes(),
+            target.as_bytes(),
             body.known(),
         ];
         Self {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The shell of `cowslip-node`: sockets, files and timers round the core.
 
+pub mod call_dialect;
 pub mod call_forward;
 pub mod call_headers;
 pub mod call_metrics;
@@ -12,6 +13,7 @@
 pub mod follow_task;
 pub mod gate_task;
 pub mod holder_task;
+pub mod hop;
 pub mod keyed_call;
 pub mod local_handler;
 pub mod node_daemon;
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -11,18 +11,23 @@
 use log::info;
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_wire::admin_page::AdminPage;
 use cowslip_wire::admin_page::ADMIN_CONNECTIONS_MAX;
+use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
 use cowslip_wire::peer_client::PeerClient;
 
+use crate::call_dialect::CallDialect;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::claim_desk::ClaimDesk;
 use crate::entry_handler::EntryDesk;
 use crate::entry_handler::EntryHandler;
+use crate::entry_handler::NodeStage;
 use crate::entry_task;
 use crate::evidence_task;
 use crate::follow_metrics::FollowMetrics;
@@ -31,6 +36,7 @@
 use crate::gate_task;
 use crate::gate_task::GateMessage;
 use crate::gate_task::GatePlace;
+use crate::gate_task::ServerReport;
 use crate::holder_task;
 use crate::local_handler::LocalHandler;
 use crate::node_settings::NodeSettings;
@@ -71,8 +77,72 @@
     peer: HttpListener,
     admin: HttpListener,
     gate: mpsc::UnboundedSender<GateMessage>,
-    stopping: Rc<Cell<bool>>,
+    stage: Rc<Cell<NodeStage>>,
     drain_notice: Duration,
+    stop_within: Option<Duration>,
+}
+
+/// Puts a handler in front of a listener's own.
+pub type HandlerFront<D> = Box<dyn FnOnce(D, Rc<dyn HttpHandler>) -> Rc<dyn HttpHandler>>;
+
+/// What the surroundings of a fleet need in front of a node.
+pub struct NodeFronts {
+    /// How callers and the backend server name headers.
+    pub dialect: CallDialect,
+    /// In front of the backend server's listener.
+    pub local: HandlerFront<ServerDesk>,
+    /// In front of the admin listener.
+    pub admin: HandlerFront<NodeView>,
+}
+
+impl Default for NodeFronts {
+    fn default() -> Self {
+        Self {
+            dialect: CallDialect::default(),
+            local: Box::new(|_, handler| handler),
+            admin: Box::new(|_, handler| handler),
+        }
+    }
+}
+
+/// Takes what the backend server reports of itself.
+#[derive(Clone)]
+pub struct ServerDesk {
+    gate: mpsc::UnboundedSender<GateMessage>,
+}
+
+impl ServerDesk {
+    /// A report; it is in force here once this returns.
+    pub async fn report(&self, report: ServerReport) {
+        let (reply, done) = oneshot::channel();
+        // The gate's task ends only with the node.
+        let _ = self.gate.send(GateMessage::Report(report, reply));
+        let _ = done.await;
+    }
+
+    /// The run of this name, started at `born_ms` where that is known, takes
+    /// no more work; true here once this returns.
+    pub async fn left(&self, run: Arc<str>, born_ms: Option<u64>) {
+        let (reply, done) = oneshot::channel();
+        // The gate's task ends only with the node.
+        let _ = self.gate.send(GateMessage::Left(run, born_ms, reply));
+        let _ = done.await;
+    }
+}
+
+/// What can be seen of a node from outside.
+#[derive(Clone)]
+pub struct NodeView {
+    configured: Rc<Cell<bool>>,
+    stage: Rc<Cell<NodeStage>>,
+}
+
+impl NodeView {
+    /// True where callers may send it work: it has a configuration and is
+    /// not leaving.
+    pub fn is_ready(&self) -> bool {
+        self.configured.get() && self.stage.get() == NodeStage::Open
+    }
 }
 
 impl NodeDaemon {
@@ -81,6 +151,16 @@
         settings: &NodeSettings,
         sockets: NodeSockets,
         seed: u64,
+    ) -> io::Result<Self> {
+        Self::spawn_behind(settings, sockets, NodeFronts::default(), seed)
+    }
+
+    /// The same, behind `fronts`.
+    pub fn spawn_behind(
+        settings: &NodeSettings,
+        sockets: NodeSockets,
+        fronts: NodeFronts,
+        seed: u64,
     ) -> io::Result<Self> {
         let mut registry = Registry::default();
         let entry_metrics = CallMetrics::new(&mut registry, "entry");
@@ -94,7 +174,17 @@
             address: sockets.peer.local_addr()?,
         };
         let gate = gate_task::spawn(place, records);
-        let entry = entry_task::spawn(instance, failure_domain, gate.clone(), seed);
+        let view = NodeView {
+            configured: Rc::new(Cell::new(false)),
+            stage: Rc::new(Cell::new(NodeStage::Open)),
+        };
+        let entry = entry_task::spawn(
+            instance,
+            failure_domain,
+            gate.clone(),
+            Rc::clone(&view.configured),
+            seed,
+        );
         let peers = PeerClient::new(settings.system_key.clone());
         let control = follow_task::spawn(FollowPlan {
             instance: Arc::clone(&settings.instance),
@@ -111,8 +201,11 @@
             ClaimDesk::new(Arc::clone(&settings.instance), entry.clone(), peers.clone());
         actix_rt::spawn(follow_task::publish(control, seed, peers, published));
         let pools = CallPools::new();
+        let dialect = Rc::new(fronts.dialect);
         let desk = Rc::new(EntryDesk {
             pools: Rc::clone(&pools),
+            dialect: Rc::clone(&dialect),
+            service: settings.service.clone(),
             system_key: settings.system_key.clone(),
             entry,
             claims,
@@ -120,33 +213,34 @@
         });
         let peer_desk = PeerDesk {
             pools,
+            dialect,
             system_key: settings.system_key.clone(),
             gate: gate.clone(),
             holder: holder_task::spawn(),
             tickets: Cell::new(0),
             metrics: server_metrics,
         };
-        let stopping = Rc::new(Cell::new(false));
-        let callers = EntryHandler::new(
-            Rc::clone(&desk),
-            CallOrigin::Outside,
-            Rc::clone(&stopping),
-        );
-        let local = LocalHandler::new(gate.clone(), desk);
+        let stage = Rc::clone(&view.stage);
+        let callers =
+            EntryHandler::new(Rc::clone(&desk), CallOrigin::Outside, Rc::clone(&stage));
+        let local = Rc::new(LocalHandler::new(gate.clone(), desk));
+        let local = (fronts.local)(ServerDesk { gate: gate.clone() }, local);
         let page = AdminPage::new(Rc::new(registry), Rc::new(Cell::new(true)));
+        let page = (fronts.admin)(view, Rc::new(page));
         let listen = HttpListener::spawn;
         let daemon = Self {
             callers: listen(sockets.callers, CONNECTIONS_MAX, Rc::new(callers))?,
-            local: listen(sockets.local, CONNECTIONS_MAX, Rc::new(local))?,
+            local: listen(sockets.local, CONNECTIONS_MAX, local)?,
             peer: listen(
                 sockets.peer,
                 CONNECTIONS_MAX,
                 Rc::new(PeerHandler::new(peer_desk)),
             )?,
-            admin: listen(sockets.admin, ADMIN_CONNECTIONS_MAX, Rc::new(page))?,
+            admin: listen(sockets.admin, ADMIN_CONNECTIONS_MAX, page)?,
             gate,
-            stopping,
+            stage,
             drain_notice: settings.drain_notice,
+            stop_within: settings.stop_within,
         };
         info!(
             "event=started process=node instance={} failure_domain={} callers={} local={} peer={} admin={}",
@@ -175,17 +269,34 @@
         self.admin.address()
     }
 
-    /// A planned stop: no new work, others are told, what is in flight ends.
-    /// True where nothing was cut.
+    /// A planned stop: others are told, new work is refused, what is in
+    /// flight ends. True where nothing was cut.
+    ///
+    /// Where the stop's time is bounded, callers are served through the
+    /// notice: they learn of the stop only from the answers, and a refusal
+    /// would cost each of them a second try.
     pub async fn stop(self) -> bool {
-        self.stopping.set(true);
+        let began = BootInstant::now();
+        let bounded = self.stop_within.is_some();
+        self.stage.set(if bounded {
+            NodeStage::Leaving
+        } else {
+            NodeStage::Stopping
+        });
         let _ = self.gate.send(GateMessage::Stop);
         actix_rt::time::sleep(self.drain_notice).await;
-        let mut whole = self.callers.stop(STOP_PATIENCE).await;
-        whole &= self.peer.stop(STOP_PATIENCE).await;
+        self.stage.set(NodeStage::Stopping);
+        let patience = match self.stop_within {
+            Some(within) => within.saturating_sub(began.elapsed()),
+            None => STOP_PATIENCE,
+        };
+        let mut whole = self.callers.stop(patience).await;
+        let left =
+            patience.saturating_sub(began.elapsed().saturating_sub(self.drain_notice));
+        whole &= self.peer.stop(left).await;
         // Last of the three: what the backend server still runs for others
         // may need calls of its own.
-        whole &= self.local.stop(STOP_PATIENCE).await;
-        whole & self.admin.stop(STOP_PATIENCE).await
+        whole &= self.local.stop(left).await;
+        whole & self.admin.stop(left).await
     }
 }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -37,6 +37,14 @@
     pub system_key: AccessKey,
     /// Time between saying that it leaves and closing its listeners.
     pub drain_notice: Duration,
+    /// Service of the backend server beside it, where the node is told; the
+    /// server need not say it itself then.
+    pub service: Option<Arc<str>>,
+    /// Where that server listens, where the node is told.
+    pub server: Option<SocketAddr>,
+    /// Time that a planned stop may take in all; as long as calls need
+    /// where absent. During the notice the node goes on serving then.
+    pub stop_within: Option<Duration>,
 }
 
 impl NodeSettings {
@@ -58,6 +66,9 @@
             controls,
             system_key,
             drain_notice: DRAIN_NOTICE,
+            service: None,
+            server: None,
+            stop_within: None,
         }
     }
 }
@@ -75,6 +86,9 @@
         let system_key =
             reader.required("system_key", "the secret of the control instances");
         let drain_notice = reader.optional("drain_notice", "a time such as 2s");
+        let service = reader.optional::<String>("service", "the service beside it");
+        let server = reader.optional("server", ADDRESS);
+        let stop_within = reader.optional("stop_within", "a time such as 30s");
         if controls.is_empty() {
             reader.fault("controls", "names no control instance; write at least one");
         }
@@ -89,6 +103,9 @@
             system_key: system_key?,
             drain_notice: drain_notice
                 .map_or(DRAIN_NOTICE, |SettingsTime(notice)| notice),
+            service: service.map(Arc::from),
+            server,
+            stop_within: stop_within.map(|SettingsTime(within)| within),
         })
     }
 }
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -4,11 +4,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use actix_http::HttpMessage;
 use actix_http::Request;
 use actix_http::StatusCode;
+use log::debug;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -22,6 +22,7 @@
 use cowslip_core::verdict::CallVerdict;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::access_key::KEY_HEADER;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::claim_messages::ClaimCall;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::ReplyFuture;
@@ -30,9 +31,11 @@
 use cowslip_wire::message_reply;
 use cowslip_wire::messages::WireCall;
 
+use crate::call_dialect::CallDialect;
 use crate::call_forward;
 use crate::call_forward::CallBody;
 use crate::call_forward::CallParts;
+use crate::call_forward::HopHeaders;
 use crate::call_headers;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
@@ -41,11 +44,18 @@
 use crate::gate_task::GateMessage;
 use crate::gate_task::SlotGrant;
 use crate::holder_task::HolderMessage;
+use crate::hop::HopAnswer;
+
+/// Bytes of a server's refusal that are read so that its connection can be
+/// used again; refusals are a line of text.
+const REFUSAL_BYTES_MAX: usize = 4 * 1024;
 
 /// What every call of the server side needs.
 pub struct PeerDesk {
     /// Sends calls to the backend server.
     pub pools: Rc<CallPools>,
+    /// How the backend server reads headers.
+    pub dialect: Rc<CallDialect>,
     /// Key between nodes.
     pub system_key: AccessKey,
     /// The gate's task.
@@ -98,10 +108,11 @@
             }
             Err(failure) => {
                 self.metrics.refused(failure.reason);
-                refusal_reply(CallRefusal {
+                let refusal = CallRefusal {
                     reason: failure.reason,
                     verdict: failure.verdict,
-                })
+                };
+                refusal_reply(refusal, &self.dialect)
             }
         }
     }
@@ -111,31 +122,46 @@
         if !self.system_key.admits(offered.as_bytes()) {
             return Err(not_run(RefusalReason::BadHeader));
         }
-        let arrived = Instant::now();
+        let arrived = BootInstant::now();
         let mut call = offered_call(&request)?;
         let left = call.left;
-        let parts = CallParts::of(&request);
+        let caller = http_reply::header(&request, call_headers::CALLER_SERVICE);
+        let caller = caller.map(str::to_owned);
+        let parts = CallParts::of(&request, &self.dialect);
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
         call.left = time_left(left, arrived)?;
         let (grant, mut slot) = self.slot(call).await?;
         let left = deadline_budget::for_next_hop(time_left(left, arrived)?);
-        let added = vec![(call_headers::DEADLINE_MS, left.as_millis().to_string())];
-        let sent = Instant::now();
-        let server = grant.server;
-        let sending =
-            call_forward::send(&self.pools, server, &parts, added, &mut body, left);
-        let response = sending.await.inspect_err(|failure| {
-            if failure.reason == RefusalReason::ConnectFailed {
+        let sent = BootInstant::now();
+        let request = parts.hop_request(
+            &self.dialect,
+            self.server_headers(left, &grant, caller.as_deref()),
+        );
+        let sending = self.pools.send(grant.server, &request, &mut body, left);
+        let mut answer = sending.await.inspect_err(|failure| {
+            let lost = [
+                RefusalReason::ConnectFailed,
+                RefusalReason::ConnectionBroken,
+            ];
+            if lost.contains(&failure.reason) {
                 // The gate's task ends only with the node.
                 let _ = self.gate.send(GateMessage::Unreachable);
             }
         })?;
-        slot.outcome = match response.status() {
+        slot.outcome = match answer.head.status {
             StatusCode::SERVICE_UNAVAILABLE => SlotOutcome::Shed,
             status if status.is_server_error() => SlotOutcome::Abandoned,
             _ => SlotOutcome::Answered(sent.elapsed()),
         };
-        let mut reply = call_forward::pass_back(response, &parts.method, slot);
+        if self.is_not_run(&answer) {
+            slot.outcome = SlotOutcome::Shed;
+            // Read to its end, so that the connection can be used again.
+            let whole = answer.body.hold(REFUSAL_BYTES_MAX).await;
+            debug!("event=server-refused process=node whole={whole:?}");
+            return Err(not_run(RefusalReason::ServerRefused));
+        }
+        let give_up_at = sent + left;
+        let mut reply = call_forward::pass_back(answer, &parts.method, give_up_at, slot);
         let verdict = CallVerdict::Ran.as_str();
         http_reply::set_header(&mut reply, call_headers::VERDICT, verdict);
         let warm = u8::from(grant.warm).to_string();
@@ -143,6 +169,31 @@
         Ok(reply)
     }
 
+    fn server_headers(
+        &self,
+        left: Duration,
+        grant: &SlotGrant,
+        caller: Option<&str>,
+    ) -> HopHeaders {
+        let dialect = &self.dialect;
+        let left_ms = left.as_millis().to_string();
+        let mut added = vec![(dialect.deadline_ms.clone(), left_ms)];
+        if let Some(run) = &grant.run {
+            added.push((dialect.server_run.clone(), run.to_string()));
+        }
+        if let Some(caller) = caller {
+            added.push((dialect.caller_service.clone(), caller.to_owned()));
+        }
+        added
+    }
+
+    /// Whether the server says that it has not run the request.
+    fn is_not_run(&self, answer: &HopAnswer) -> bool {
+        let head = &answer.head;
+        let told = head.headers().contains_key(&self.dialect.not_run);
+        told || head.status == StatusCode::MISDIRECTED_REQUEST
+    }
+
     async fn claim(&self, mut request: Request) -> Result<HttpReply, HttpReply> {
         let call: ClaimCall = message_reply::read(&mut request, &self.system_key).await?;
         let (reply, answer) = oneshot::channel();
@@ -185,7 +236,7 @@
         && !request.headers().contains_key(call_headers::SERVICE)
 }
 
-fn time_left(left: Duration, since: Instant) -> Result<Duration, TryFailure> {
+fn time_left(left: Duration, since: BootInstant) -> Result<Duration, TryFailure> {
     let left = left.saturating_sub(since.elapsed());
     if left.is_zero() {
         return Err(not_run(RefusalReason::DeadlinePassed));
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -81,6 +81,7 @@
     gate.send(GateMessage::Configure(bounds)).unwrap();
     let desk = PeerDesk {
         pools: CallPools::new(),
+        dialect: Rc::default(),
         system_key: AccessKey::new(KEY),
         gate,
         holder: holder_task::spawn(),
--- a/crates/wire/src/http_listener.rs
+++ b/crates/wire/src/http_listener.rs
@@ -152,6 +152,10 @@
     let factory = HttpService::build()
         .client_request_timeout(HEAD_TIMEOUT)
         .keep_alive(IDLE_TIMEOUT)
+        // Guards against callers that leave: with their half of the
+        // connection closed their calls would run on, hold slots, and keep
+        // new ones waiting until the deadline of those who left.
+        .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || {
             reached(closing.clone(), ListenerStage::Closing)
         })
--- a/crates/wire/src/http_reply.rs
+++ b/crates/wire/src/http_reply.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use serde::Serialize;
 use thiserror::Error;
 
 /// Longest pause within a body; a slow sender holds a connection no longer.
@@ -29,6 +30,17 @@
     with_type(status, value, line.into())
 }
 
+/// An answer of JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> HttpReply {
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            let kind = HeaderValue::from_static("application/json");
+            with_type(status, kind, body.into())
+        }
+        Err(fault) => text(StatusCode::INTERNAL_SERVER_ERROR, fault.to_string()),
+    }
+}
+
 /// An answer of bytes with their content type.
 pub fn with_type(status: StatusCode, kind: HeaderValue, body: Bytes) -> HttpReply {
     let mut reply = Response::new(status).set_body(BoxBody::new(body));
--- a/crates/wire/src/stop_signal.rs
+++ b/crates/wire/src/stop_signal.rs
@@ -5,13 +5,22 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
-/// Returns at the first SIGTERM or SIGINT.
-pub async fn wait() -> io::Result<()> {
+/// Returns at the first SIGTERM or SIGINT; each SIGHUP before it calls
+/// `reload`, and ends nothing.
+pub async fn wait_and(mut reload: impl FnMut()) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hang_up.recv() => reload(),
+        }
     }
-    Ok(())
+}
+
+/// Returns at the first SIGTERM or SIGINT.
+pub async fn wait() -> io::Result<()> {
+    wait_and(|| {}).await
 }
