Unframed answers end with their connection; a node turns away from a silent source

Cause (CONFIG, refused with 404): a node waited 6 s on a frozen control instance, and stayed with one cut off from the leader. Ruled out: lost deltas, a wrong version order (the node's log shows no question in between). The wait for news is a setting now; an instance that cannot prove itself fresh is left.

--- a/crates/core/src/reconnect_backoff.rs
+++ b/crates/core/src/reconnect_backoff.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct ReconnectBackoff {
     ceiling: Duration,
+    longest: Duration,
     rng: SmallRng,
 }
 
@@ -33,10 +34,18 @@
     pub fn new(seed: u64) -> Self {
         Self {
             ceiling: FIRST,
+            longest: LONGEST,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// The same, with `longest` as the longest wait: a small fleet can ask
+    /// more often without harm, and is back sooner.
+    pub fn bounded(mut self, longest: Duration) -> Self {
+        self.longest = longest.min(LONGEST);
+        self
+    }
+
     /// A source answered: the next failure begins with a short wait again.
     pub fn succeed(&mut self) {
         self.ceiling = FIRST;
@@ -45,7 +54,7 @@
     /// Wait after a failure, drawn evenly up to a ceiling that doubles.
     pub fn fail(&mut self) -> Duration {
         let wait = self.ceiling.mul_f64(self.rng.random_range(0.0..1.0));
-        self.ceiling = (self.ceiling * 2).min(LONGEST);
+        self.ceiling = (self.ceiling * 2).min(self.longest);
         wait
     }
 
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -32,12 +32,31 @@
 use crate::follow_metrics::FollowMetrics;
 use crate::gate_task::GateMessage;
 
-/// Wait that is asked of a control instance where it has no news. Each
-/// question renews the node's leases; 250 bytes every four seconds.
-const FOLLOW_WAIT: Duration = Duration::from_secs(4);
+/// An answer is given up on this long after it was due, and the next
+/// instance is asked; for short waits sooner.
+const ANSWER_MARGIN: Duration = Duration::from_secs(2);
+const SHORT_MARGIN: Duration = Duration::from_millis(200);
 
-/// Answers later than this are given up on, and the next instance is asked.
-const FOLLOW_PATIENCE: Duration = Duration::from_secs(6);
+/// Longest wait after failures, in multiples of the wait for news.
+const BACKOFF_WAITS: f64 = 2.5;
+
+/// How a node paces its questions.
+#[derive(Clone, Copy, Debug)]
+struct FollowPace {
+    wait: Duration,
+    patience: Duration,
+    backoff: Duration,
+}
+
+impl FollowPace {
+    fn of(wait: Duration) -> Self {
+        Self {
+            wait,
+            patience: wait + (wait + SHORT_MARGIN).min(ANSWER_MARGIN),
+            backoff: wait.mul_f64(BACKOFF_WAITS),
+        }
+    }
+}
 
 /// A report or a chunk is answered at once; so it is given up on earlier.
 const SHORT_PATIENCE: Duration = Duration::from_secs(2);
@@ -52,6 +71,8 @@
     pub controls: Vec<SocketAddr>,
     /// Spreads the nodes over them, and their waits.
     pub seed: u64,
+    /// Wait that is asked of them where they have no news.
+    pub wait: Duration,
     /// Sends messages to them.
     pub client: PeerClient,
     /// Where news go.
@@ -68,8 +89,10 @@
     let domain = Arc::clone(&plan.failure_domain);
     let ring = SourceRing::new(domain, &plan.controls, first);
     let (current, watched) = watch::channel(ring.current());
+    let pace = FollowPace::of(plan.wait);
     let follower = ControlFollower {
-        backoff: ReconnectBackoff::new(plan.seed),
+        pace,
+        backoff: ReconnectBackoff::new(plan.seed).bounded(pace.backoff),
         plan,
         ring,
         current,
@@ -84,6 +107,7 @@
 
 struct ControlFollower {
     plan: FollowPlan,
+    pace: FollowPace,
     ring: SourceRing,
     current: watch::Sender<SocketAddr>,
     versions: VersionFollower,
@@ -99,6 +123,8 @@
     Stay,
     /// The source answered and cannot help, or another is nearer.
     Turn,
+    /// The source answered and cannot tell whether it is behind.
+    Unsure,
     /// The source said when to come back.
     Later(Duration),
 }
@@ -119,6 +145,12 @@
                     self.backoff.told(after)
                 }
                 Ok(TurnEnd::Turn) => self.turn_away(),
+                Ok(TurnEnd::Unsure) => {
+                    self.plan.metrics.wait();
+                    self.turn_away();
+                    self.backoff.succeed();
+                    self.pace.wait / 2
+                }
                 Err(failure) => {
                     self.plan.metrics.fail();
                     warn!(
@@ -149,12 +181,12 @@
             whole: self.versions.wants_whole(),
             waited: self.waited,
             directory: self.directory.ask(),
-            wait_ms: FOLLOW_WAIT.as_millis() as u64,
+            wait_ms: self.pace.wait.as_millis() as u64,
             node_domain: Some(Arc::clone(&self.plan.failure_domain)),
         };
         let address = self.ring.current();
         let client = &self.plan.client;
-        let answer = match client.send(address, &call, FOLLOW_PATIENCE).await? {
+        let answer = match client.send(address, &call, self.pace.patience).await? {
             FollowReply::News(answer) => *answer,
             FollowReply::Later(after_ms) => {
                 return Ok(TurnEnd::Later(Duration::from_millis(after_ms)))
@@ -163,6 +195,7 @@
         self.waited = false;
         self.take_directory(answer.directory).await;
         let domain = Arc::clone(&answer.source.failure_domain);
+        let unsure = answer.source.fresh_ms == 0;
         let now = self.started.elapsed();
         let step =
             self.versions
@@ -177,6 +210,11 @@
         if self.ring.answered(self.started.elapsed(), &domain) {
             self.current.send_replace(self.ring.current());
         }
+        // Guards against a node that stays with an instance cut off from the
+        // leader: it answers well, and never has news.
+        if unsure {
+            return Ok(TurnEnd::Unsure);
+        }
         Ok(TurnEnd::Stay)
     }
 
--- a/crates/node/src/hop/answer_body.rs
+++ b/crates/node/src/hop/answer_body.rs
@@ -43,7 +43,7 @@
         }
         if let Some(mut connection) = self.connection.take() {
             if part.is_ok() && connection.is_reusable() {
-                connection.rest();
+                connection.shrink();
                 self.shelf.put(connection);
             }
         }
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -12,11 +12,16 @@
 use actix_http::h1::MessageType;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::TRANSFER_ENCODING;
+use actix_http::Method;
 use actix_http::RequestHeadType;
 use actix_http::ResponseHead;
+use actix_http::StatusCode;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use log::info;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::io::AsyncReadExt;
@@ -76,14 +81,24 @@
     stream: TcpStream,
     address: SocketAddr,
     generation: PoolGeneration,
-    codec: Option<ClientCodec>,
-    payload: Option<ClientPayloadCodec>,
+    rest: AnswerRest,
     received: BytesMut,
     reusable: bool,
-    ends_with_connection: bool,
     usable_until: BootInstant,
 }
 
+/// What of an answer is still to come.
+enum AnswerRest {
+    /// Nothing; the next request may be sent.
+    Nothing(ClientCodec),
+    /// A body whose end the codec finds.
+    Framed(ClientPayloadCodec),
+    /// Everything until the connection ends.
+    ToTheEnd,
+    /// The connection is of no more use.
+    Spent,
+}
+
 impl HopConnection {
     /// Connects, with the kernel watching for silence.
     pub async fn open(
@@ -98,11 +113,9 @@
             stream,
             address,
             generation,
-            codec: Some(codec),
-            payload: None,
+            rest: AnswerRest::Nothing(codec),
             received: BytesMut::new(),
             reusable: false,
-            ends_with_connection: false,
             usable_until: BootInstant::now() + IDLE_TIME,
         })
     }
@@ -129,7 +142,8 @@
     /// True once the answer has been read to its end and the connection may
     /// carry another request.
     pub fn is_reusable(&self) -> bool {
-        self.reusable && self.payload.is_none() && self.received.is_empty()
+        let idle = matches!(self.rest, AnswerRest::Nothing(_));
+        self.reusable && idle && self.received.is_empty()
     }
 
     /// Sends a request and reads the head of its answer.
@@ -138,7 +152,11 @@
         request: &HopRequest,
         body: &mut CallBody,
     ) -> Result<ResponseHead, ExchangeError> {
-        let mut codec = self.codec.take().ok_or_else(no_codec)?;
+        let rest = std::mem::replace(&mut self.rest, AnswerRest::Spent);
+        let AnswerRest::Nothing(mut codec) = rest else {
+            let problem = "an answer is still being read";
+            return Err(ExchangeError::Broken(problem.to_owned()));
+        };
         let mut first = BytesMut::new();
         let head = RequestHeadType::Owned(request.head());
         codec.encode(Message::Item((head, body.size())), &mut first)?;
@@ -169,13 +187,13 @@
         // for the rest of a body which it answered before its end.
         self.reusable = sent && codec.keep_alive();
         self.note_idle_time(&head.headers);
-        match codec.message_type() {
-            MessageType::None => self.codec = Some(codec),
-            kind => {
-                self.ends_with_connection = kind == MessageType::Stream;
-                self.payload = Some(codec.into_payload_codec());
+        self.rest = match codec.message_type() {
+            MessageType::None if is_unframed(&head, request) => AnswerRest::ToTheEnd,
+            MessageType::None => AnswerRest::Nothing(codec),
+            MessageType::Payload | MessageType::Stream => {
+                AnswerRest::Framed(codec.into_payload_codec())
             }
-        }
+        };
         Ok(head)
     }
 
@@ -194,16 +212,20 @@
     /// The next part of the answer's body; `None` at its end.
     pub async fn next_part(&mut self) -> Result<Option<Bytes>, PayloadError> {
         loop {
-            let Some(payload) = &mut self.payload else {
-                return Ok(None);
-            };
-            match payload.decode(&mut self.received)? {
-                Some(Some(part)) => return Ok(Some(part)),
-                Some(None) => {
-                    self.end_answer();
-                    return Ok(None);
+            match &mut self.rest {
+                AnswerRest::Nothing(_) | AnswerRest::Spent => return Ok(None),
+                AnswerRest::ToTheEnd if self.received.is_empty() => {}
+                AnswerRest::ToTheEnd => return Ok(Some(self.received.split().freeze())),
+                AnswerRest::Framed(payload) => {
+                    match payload.decode(&mut self.received)? {
+                        Some(Some(part)) => return Ok(Some(part)),
+                        Some(None) => {
+                            self.end_answer();
+                            return Ok(None);
+                        }
+                        None => {}
+                    }
                 }
-                None => {}
             }
             let read = self.stream.read_buf(&mut self.received).await;
             if read.map_err(PayloadError::Io)? > 0 {
@@ -211,31 +233,36 @@
             }
             // Guards against an answer cut short that looks complete: only
             // one without a stated length ends with its connection.
-            if !self.ends_with_connection {
-                return Err(PayloadError::Incomplete(None));
+            let whole = matches!(self.rest, AnswerRest::ToTheEnd);
+            self.rest = AnswerRest::Spent;
+            if whole {
+                return Ok(None);
             }
-            self.reusable = false;
-            self.payload = None;
-            return Ok(None);
+            return Err(PayloadError::Incomplete(None));
         }
     }
 
     fn end_answer(&mut self) {
-        let Some(payload) = self.payload.take() else {
-            return;
-        };
-        self.reusable &= payload.keep_alive();
-        self.codec = Some(payload.into_message_codec());
+        let rest = std::mem::replace(&mut self.rest, AnswerRest::Spent);
+        if let AnswerRest::Framed(payload) = rest {
+            self.reusable &= payload.keep_alive();
+            self.rest = AnswerRest::Nothing(payload.into_message_codec());
+        }
     }
 
     /// Frees what an idle connection does not need.
-    pub fn rest(&mut self) {
+    pub fn shrink(&mut self) {
         self.received = BytesMut::new();
     }
 }
 
-fn no_codec() -> ExchangeError {
-    ExchangeError::Broken("an answer is still being read".to_owned())
+/// True for an answer whose body has no stated length: it ends with its
+/// connection, whatever the codec takes it for.
+fn is_unframed(head: &ResponseHead, request: &HopRequest) -> bool {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    let framed = head.headers.contains_key(CONTENT_LENGTH)
+        || head.headers.contains_key(TRANSFER_ENCODING);
+    !framed && request.method != Method::HEAD && !bodiless.contains(&head.status)
 }
 
 /// Guards against a connection that something on the way has lost track of:
@@ -320,10 +347,14 @@
         if echoed.is_none() || request.id().is_none() || echoed == request.id() {
             return Ok(head);
         }
-        log::info!(
+        info!(
             "event=late-answer-dropped process=node status={}",
             head.status
         );
+        if is_unframed(&head, request) {
+            let problem = "an answer to another request ends with the connection";
+            return Err(ExchangeError::Broken(problem.to_owned()));
+        }
         skip_body(reader, codec, received).await?;
     }
 }
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -190,6 +190,7 @@
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
             controls: settings.controls.clone(),
+            wait: settings.follow_wait,
             seed,
             client: peers.clone(),
             entry: entry.clone(),
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -16,6 +16,10 @@
 /// listeners close. Control passes directory news on within a second.
 const DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
+/// Each question to a control instance renews the node's leases; 250 bytes
+/// every four seconds, for fleets of thousands.
+const FOLLOW_WAIT: Duration = Duration::from_secs(4);
+
 /// What a node is told at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -37,6 +41,9 @@
     pub system_key: AccessKey,
     /// Time between saying that it leaves and closing its listeners.
     pub drain_notice: Duration,
+    /// Wait that is asked of a control instance where it has no news. One
+    /// that has died is noticed this much later, and half a second or so.
+    pub follow_wait: Duration,
     /// Service of the backend server beside it, where the node is told; the
     /// server need not say it itself then.
     pub service: Option<Arc<str>>,
@@ -66,6 +73,7 @@
             controls,
             system_key,
             drain_notice: DRAIN_NOTICE,
+            follow_wait: FOLLOW_WAIT,
             service: None,
             server: None,
             stop_within: None,
@@ -86,6 +94,7 @@
         let system_key =
             reader.required("system_key", "the secret of the control instances");
         let drain_notice = reader.optional("drain_notice", "a time such as 2s");
+        let follow_wait = reader.optional("follow_wait", "a time such as 4s");
         let service = reader.optional::<String>("service", "the service beside it");
         let server = reader.optional("server", ADDRESS);
         let stop_within = reader.optional("stop_within", "a time such as 30s");
@@ -103,6 +112,7 @@
             system_key: system_key?,
             drain_notice: drain_notice
                 .map_or(DRAIN_NOTICE, |SettingsTime(notice)| notice),
+            follow_wait: follow_wait.map_or(FOLLOW_WAIT, |SettingsTime(wait)| wait),
             service: service.map(Arc::from),
             server,
             stop_within: stop_within.map(|SettingsTime(within)| within),
