--- a/crates/core/benches/load_decisions.rs
+++ b/crates/core/benches/load_decisions.rs
@@ -114,6 +114,7 @@
     router.ended(
         now,
         &TryReport {
+            bytes: None,
             instance: server.instance,
             service: plan.service,
             route: plan.route,
@@ -141,6 +142,8 @@
 
 fn offered(customer: &Arc<str>) -> OfferedCall {
     OfferedCall {
+        target_left: None,
+        may_wait: true,
         inner: false,
         service: "records".into(),
         route: "/prices".into(),
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -27,7 +27,9 @@
 use crate::load::fleet_servers::FleetServers;
 use crate::load::retry_budget::BudgetTerms;
 use crate::load::server_pool::ChoiceNeed;
+use crate::load::server_pool::SearchCosts;
 use crate::load::server_pool::ServerEvidence;
+use crate::load::server_pool::SlotSearch;
 use crate::load::service_pressure::ServicePressure;
 use crate::refusal::RefusalReason;
 use crate::refusal::RetryReason;
@@ -89,7 +91,13 @@
     /// Listener it came in by.
     pub origin: CallOrigin,
     idempotent: bool,
+    /// When the answer begins to be worth less, where the route says so.
+    pub target_at: Option<Duration>,
     tries: TryAllowance,
+    seeks_slots: bool,
+    probes_left: u64,
+    far_ms_per_kb: u64,
+    full: Vec<Arc<str>>,
     tried: Vec<Arc<str>>,
     failed_for: Option<RefusalReason>,
 }
@@ -123,6 +131,10 @@
     }
 
     fn spend(&mut self, failure: TryFailure) {
+        // Offers for a free slot are counted by themselves.
+        if failure.reason == RefusalReason::NoFreeSlot {
+            return;
+        }
         self.tries_left = self.tries_left.saturating_sub(1);
         if failure.reached_server() {
             self.servers_left = self.servers_left.saturating_sub(1);
@@ -158,6 +170,9 @@
     pub address: SocketAddr,
     /// Backend server version it runs.
     pub version: Arc<str>,
+    /// False where the call is to be offered elsewhere unless a slot is free
+    /// at once.
+    pub may_wait: bool,
 }
 
 /// How a try ended without a whole answer from a backend server.
@@ -209,6 +224,8 @@
     pub status: u16,
     /// Time from the try's start to the answer's head.
     pub taken: Duration,
+    /// Bytes of the answer's body, where its head states them.
+    pub bytes: Option<u64>,
 }
 
 /// Status by which a backend server says that it has no room.
@@ -356,6 +373,7 @@
         let percent = document.tuning(TuningKey::RetryPercent, &place);
         let burst = document.tuning(TuningKey::RetryBurst, &place);
         let tries = document.tuning(TuningKey::TriesMax, &place);
+        let probes = document.tuning(TuningKey::SlotProbes, &place);
         let idempotent = match route.repeat {
             Some(rule) => rule == RepeatRule::Idempotent,
             None => head.idempotent,
@@ -370,7 +388,12 @@
             verdict: CallVerdict::NotRun,
             idempotent,
             origin: head.origin,
+            target_at: route.target_ms.map(|ms| now + Duration::from_millis(ms)),
             tries: TryAllowance::of(route, tries),
+            seeks_slots: probes > 0,
+            probes_left: probes,
+            far_ms_per_kb: document.tuning(TuningKey::FarMsPerKb, &place),
+            full: Vec::new(),
             tried: Vec::new(),
             failed_for: None,
         };
@@ -398,10 +421,21 @@
         let Some(spec) = self.snapshot.document.services.get(&plan.service) else {
             return Err(RefusalReason::NoEndpoint);
         };
-        let need = ChoiceNeed {
-            tried: &plan.tried,
-            idempotent: plan.idempotent,
+        let pressure = self.pressures.entry(Arc::clone(&plan.service));
+        let pressure = pressure.or_default();
+        let kilobytes = pressure.kilobytes(&plan.route);
+        let costs = SearchCosts {
+            full: &plan.full,
+            usual: pressure.usual(&plan.route),
+            far: Duration::from_millis((kilobytes * plan.far_ms_per_kb as f64) as u64),
         };
+        let mut searches = vec![SlotSearch::ByScore];
+        if plan.seeks_slots {
+            searches = vec![SlotSearch::LeastWait(costs)];
+        }
+        if plan.probes_left > 0 {
+            searches.insert(0, SlotSearch::Free(costs));
+        }
         let mut version = draw_version(spec, &mut self.rng);
         if !self.guard.admits(&plan.service, &version) {
             version = Arc::clone(&spec.version);
@@ -413,14 +447,27 @@
             } else {
                 self.servers.pool(&plan.service, version)
             };
-            if let Some(pool) = pool {
+            let Some(pool) = pool else {
+                continue;
+            };
+            for search in &searches {
+                let need = ChoiceNeed {
+                    tried: &plan.tried,
+                    idempotent: plan.idempotent,
+                    search: *search,
+                };
                 chosen = chosen.or_else(|| pool.choose(now, &need, &mut self.rng));
             }
         }
         // Where every server has been tried, the last refusal says more.
         let none = plan.failed_for.unwrap_or(RefusalReason::NoEndpoint);
         let chosen = chosen.ok_or(none)?;
-        plan.tried.push(Arc::clone(&chosen.instance));
+        if chosen.may_wait {
+            plan.tried.push(Arc::clone(&chosen.instance));
+        } else {
+            plan.probes_left -= 1;
+            plan.full.push(Arc::clone(&chosen.instance));
+        }
         Ok(chosen)
     }
 
@@ -437,6 +484,10 @@
         self.servers.end(now, &server.instance, evidence);
         plan.verdict = plan.verdict.max(failure.verdict);
         plan.failed_for = Some(failure.reason);
+        if !server.may_wait && failure.reason != RefusalReason::NoFreeSlot {
+            // It refused or failed for another reason than want of a slot.
+            plan.tried.push(Arc::clone(&server.instance));
+        }
         let pressure = self.pressures.entry(Arc::clone(&plan.service));
         let pressure = pressure.or_default();
         if evidence == ServerEvidence::Full {
@@ -475,12 +526,20 @@
             }
             status => {
                 pressure.taken(now, &report.customer, report.priority);
+                if let Some(bytes) = report.bytes {
+                    pressure.sized(&report.route, bytes);
+                }
                 pressure.evidence(report, STATUS_FAILED.contains(&status))
             }
         };
         self.servers.end(now, &report.instance, evidence);
     }
 
+    /// A server's node told how long a call would wait there now.
+    pub fn told(&mut self, now: Duration, instance: &str, wait: Duration) {
+        self.servers.tell(now, instance, wait);
+    }
+
     /// A try was given up by its caller before any answer.
     pub fn abandoned(&mut self, now: Duration, instance: &str) {
         self.servers.end(now, instance, ServerEvidence::Nothing);
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -22,4 +22,5 @@
 pub mod server_pool;
 pub mod service_pressure;
 pub mod service_times;
+pub mod timely_queue;
 pub mod warm_ramp;
--- a/crates/core/src/load/call_queue.rs
+++ b/crates/core/src/load/call_queue.rs
@@ -54,6 +54,9 @@
     pub arrived_at: Duration,
     /// From then on it is of no use to start it.
     pub give_up_at: Duration,
+    /// From then on its answer comes later than it is worth most, if the
+    /// route says so.
+    pub late_at: Option<Duration>,
     /// Work it is expected to be.
     pub cost: Duration,
 }
@@ -173,11 +176,14 @@
 
     /// Takes out a call whose caller has left; false where it is not here.
     pub fn remove(&mut self, ticket: CallTicket) -> bool {
-        let Some(place) = self.forget(ticket) else {
-            return false;
-        };
+        self.take(ticket).is_some()
+    }
+
+    /// Takes out one call; none where it is not here.
+    pub fn take(&mut self, ticket: CallTicket) -> Option<WaitingCall> {
+        let place = self.forget(ticket)?;
         let lane = &mut self.lanes[place.lane];
-        lane.remove(&place.customer, place.position).is_some()
+        lane.remove(&place.customer, place.position)
     }
 
     /// Takes one call that it is of no more use to start.
--- a/crates/core/src/load/fleet_servers.rs
+++ b/crates/core/src/load/fleet_servers.rs
@@ -61,6 +61,18 @@
         largest.map(|(_, pool)| pool)
     }
 
+    /// A server's node told how long a call would wait there.
+    pub fn tell(&mut self, now: Duration, instance: &str, wait: Duration) {
+        let Some(home) = self.homes.get(instance) else {
+            return;
+        };
+        let versions = self.pools.get_mut(&home.service);
+        let pool = versions.and_then(|versions| versions.get_mut(&home.version));
+        if let Some(pool) = pool {
+            pool.tell(now, instance, wait);
+        }
+    }
+
     /// A try at an instance is over.
     pub fn end(&mut self, now: Duration, instance: &str, evidence: ServerEvidence) {
         let Some(home) = self.homes.get(instance) else {
--- a/crates/core/src/load/retry_advice.rs
+++ b/crates/core/src/load/retry_advice.rs
@@ -27,7 +27,8 @@
 /// later gives the same answer.
 pub fn retry_after(reason: RefusalReason, rng: &mut impl Rng) -> Option<Duration> {
     let span = match reason {
-        RefusalReason::QueueFull
+        RefusalReason::NoFreeSlot
+        | RefusalReason::QueueFull
         | RefusalReason::QueueTimeout
         | RefusalReason::CustomerLimit
         | RefusalReason::ServerRefused
--- a/crates/core/src/load/server_load.rs
+++ b/crates/core/src/load/server_load.rs
@@ -24,6 +24,10 @@
 /// news; after a few of these it gets calls again.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Least share of a ramp that counts, so that a server that has just come
+/// does not look a hundred times slower than it is.
+const RAMP_MIN: f64 = 0.25;
+
 /// Load of one server as seen by one entry node.
 #[derive(Clone, Debug)]
 pub struct ServerLoad {
@@ -32,6 +36,14 @@
     slowness: f64,
     seen_at: Duration,
     since: Duration,
+    told: Option<ToldWait>,
+}
+
+/// The wait for a slot that the server's node told, and when.
+#[derive(Clone, Copy, Debug)]
+struct ToldWait {
+    wait: Duration,
+    at: Duration,
 }
 
 impl ServerLoad {
@@ -43,6 +55,7 @@
             slowness: 1.0,
             seen_at: now,
             since: now,
+            told: None,
         }
     }
 
@@ -60,6 +73,26 @@
         1.0 + (self.slowness - 1.0) * decay(age, SLOWNESS_HALF_LIFE)
     }
 
+    /// The server's node told how long a call would wait there.
+    pub fn tell(&mut self, now: Duration, wait: Duration) {
+        self.told = Some(ToldWait { wait, at: now });
+    }
+
+    /// What is left of the wait that was told last; zero where a slot was
+    /// free or should be by now.
+    pub fn told_wait(&self, now: Duration) -> Duration {
+        self.told.map_or(Duration::ZERO, |told| {
+            told.wait.saturating_sub(now.saturating_sub(told.at))
+        })
+    }
+
+    /// Time that a job of `usual` length is expected to take there.
+    pub fn work(&self, now: Duration, usual: Duration) -> Duration {
+        let ramp = warm_ramp::share(now.saturating_sub(self.since));
+        let taken = f64::from(self.outstanding) / f64::from(self.slots.max(1));
+        usual.mul_f64(self.slowness(now) * (1.0 + taken) / ramp.max(RAMP_MIN))
+    }
+
     /// Calls this node has outstanding there.
     pub fn outstanding(&self) -> u32 {
         self.outstanding
--- a/crates/core/src/load/server_pool.rs
+++ b/crates/core/src/load/server_pool.rs
@@ -43,6 +43,18 @@
 /// directory says it too.
 const AWAY_TIME: Duration = Duration::from_secs(2);
 
+/// Servers looked at on each side for a free slot: two, as in the choice by
+/// score, so that nodes with the same knowledge do not run to one server.
+const FREE_DRAWS: usize = 2;
+
+/// Servers looked at on each side for the least wait; their nodes have told
+/// their waits a moment ago.
+const WAIT_DRAWS: usize = 8;
+
+/// By how much a server in another failure domain must be quicker: the round
+/// trip, and some for the noise of what is expected.
+const FAR_LEAD: Duration = Duration::from_millis(20);
+
 /// What a call asks of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceNeed<'a> {
@@ -50,6 +62,37 @@
     pub tried: &'a [Arc<str>],
     /// Whether it may be a trial of an ejected server.
     pub idempotent: bool,
+    /// How the call seeks a slot.
+    pub search: SlotSearch<'a>,
+}
+
+/// How a call seeks a slot.
+///
+/// Load pattern: at seven tenths of the capacity, servers of unlike speed and
+/// some twenty entry nodes that each know their own calls alone. A call that
+/// waits where it was sent first waits behind others while slots stand free
+/// elsewhere: a third of all calls did. Asked for a slot that is free at
+/// once, the server's node answers within a round trip, and the next one is
+/// asked; only where none has one the call waits, where the wait is least.
+#[derive(Clone, Copy, Debug)]
+pub enum SlotSearch<'a> {
+    /// By this node's own knowledge alone; the call waits where it is sent.
+    ByScore,
+    /// A slot that is free at once.
+    Free(SearchCosts<'a>),
+    /// The least wait of all.
+    LeastWait(SearchCosts<'a>),
+}
+
+/// What a search weighs.
+#[derive(Clone, Copy, Debug)]
+pub struct SearchCosts<'a> {
+    /// Instances that had no free slot for this call a moment ago.
+    pub full: &'a [Arc<str>],
+    /// Usual time of the call's work.
+    pub usual: Duration,
+    /// Waiting that it is worth to stay in this failure domain.
+    pub far: Duration,
 }
 
 /// What a try showed of its server.
@@ -170,6 +213,18 @@
         need: &ChoiceNeed<'_>,
         rng: &mut SmallRng,
     ) -> Option<ServerTry> {
+        match need.search {
+            SlotSearch::ByScore => {}
+            SlotSearch::Free(costs) => {
+                let place = self.seek(now, need, &costs, true, rng)?;
+                return Some(self.begin_at(place, false));
+            }
+            SlotSearch::LeastWait(costs) => {
+                let place = self.seek(now, need, &costs, false, rng);
+                let place = place.or_else(|| self.last_resort(need))?;
+                return Some(self.begin_at(place, true));
+            }
+        }
         let near = self.draw(NEAR, now, need, rng);
         let mut best = near;
         if near.is_none_or(|near| near.score > WIDEN_AT) {
@@ -180,13 +235,67 @@
             Some(best) => best.place,
             None => self.last_resort(need)?,
         };
+        Some(self.begin_at(place, true))
+    }
+
+    fn begin_at(&mut self, place: PoolPlace, may_wait: bool) -> ServerTry {
         let server = &mut self.sides[place.side][place.at];
         server.load.begin();
-        Some(ServerTry {
+        ServerTry {
             instance: Arc::clone(&server.record.instance),
             address: server.record.address,
             version: Arc::clone(&server.record.version),
-        })
+            may_wait,
+        }
+    }
+
+    /// The server whose answer is expected first, of some drawn on each side;
+    /// with `free`, only where a slot may be free now.
+    fn seek(
+        &self,
+        now: Duration,
+        need: &ChoiceNeed<'_>,
+        costs: &SearchCosts<'_>,
+        free: bool,
+        rng: &mut SmallRng,
+    ) -> Option<PoolPlace> {
+        let mut best: Option<(Duration, PoolPlace)> = None;
+        for side in [NEAR, FAR] {
+            let servers = &self.sides[side];
+            let far = if side == FAR {
+                costs.far + FAR_LEAD
+            } else {
+                Duration::ZERO
+            };
+            let draws = if free { FREE_DRAWS } else { WAIT_DRAWS };
+            let first = rng.random_range(0..servers.len().max(1));
+            let mut drawn = 0;
+            for step in 0..servers.len() {
+                let at = (first + step) % servers.len();
+                let server = &servers[at];
+                let wait = server.load.told_wait(now);
+                let taken = costs.full.contains(&server.record.instance);
+                if !server.admits(now, need) || free && (taken || !wait.is_zero()) {
+                    continue;
+                }
+                let expected = wait + server.load.work(now, costs.usual) + far;
+                if best.is_none_or(|(least, _)| expected < least) {
+                    best = Some((expected, PoolPlace { side, at }));
+                }
+                drawn += 1;
+                if drawn == draws {
+                    break;
+                }
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// A server's node told how long a call would wait there.
+    pub fn tell(&mut self, now: Duration, instance: &str, wait: Duration) {
+        if let Some(server) = self.get_mut(instance) {
+            server.load.tell(now, wait);
+        }
     }
 
     fn draw(
--- a/crates/core/src/load/service_pressure.rs
+++ b/crates/core/src/load/service_pressure.rs
@@ -1,5 +1,7 @@
 //! What one entry node remembers of the load on one service.
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -16,12 +18,19 @@
 /// half-lives of its counts.
 const CALM_AFTER: Duration = Duration::from_secs(10);
 
+/// Weight of an answer in the usual size: about the last 16.
+const SIZE_PART: f64 = 1.0 / 16.0;
+
+/// Routes whose sizes are held at most; a service has tens.
+const ROUTES_MAX: usize = 1_024;
+
 /// Retry budget, usual times and, under overload, the customers' throttle.
 #[derive(Debug, Default)]
 pub struct ServicePressure {
     /// Further tries left.
     pub budget: RetryBudget,
     times: ServiceTimes,
+    sizes: HashMap<Arc<str>, f64>,
     throttle: Option<CustomerThrottle>,
     refused_at: Duration,
 }
@@ -62,6 +71,26 @@
         ServerEvidence::Answered(ratio)
     }
 
+    /// Usual time of the work on `route`.
+    pub fn usual(&self, route: &str) -> Duration {
+        self.times.cost(route)
+    }
+
+    /// An answer on `route` had this many bytes.
+    pub fn sized(&mut self, route: &Arc<str>, bytes: u64) {
+        if self.sizes.len() >= ROUTES_MAX && !self.sizes.contains_key(route) {
+            return;
+        }
+        let held = self.sizes.entry(Arc::clone(route));
+        let held = held.or_insert(bytes as f64);
+        *held += (bytes as f64 - *held) * SIZE_PART;
+    }
+
+    /// Usual kilobytes of an answer on `route`; zero where not known.
+    pub fn kilobytes(&self, route: &str) -> f64 {
+        self.sizes.get(route).map_or(0.0, |bytes| bytes / 1_024.0)
+    }
+
     /// A server's node refused a call for want of room.
     pub fn refused(&mut self, now: Duration, rng: &mut SmallRng) {
         self.refused_at = now;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -49,6 +49,9 @@
         NoConfiguration => "no-configuration",
         /// No endpoint of the service is known and taking work.
         NoEndpoint => "no-endpoint",
+        /// Every slot of the backend server is taken, and the call was to be
+        /// offered elsewhere before it waits.
+        NoFreeSlot => "no-free-slot",
         /// Every slot of the backend server is taken and so is every place
         /// in its queue, or the caller's customer has most of them.
         QueueFull => "queue-full",
@@ -94,6 +97,8 @@
 reasons! {
     /// Why a call was tried again.
     RetryReason {
+        /// The server's node had no slot free at once.
+        NoFreeSlot => "no-free-slot",
         /// The server's node refused with its queue full.
         QueueFull => "queue-full",
         /// The server's node refused because its backend server is leaving.
@@ -114,6 +119,7 @@
     /// another endpoint would refuse alike.
     pub fn retry(self) -> Option<RetryReason> {
         match self {
+            Self::NoFreeSlot => Some(RetryReason::NoFreeSlot),
             Self::QueueFull => Some(RetryReason::QueueFull),
             Self::Draining | Self::Stopping => Some(RetryReason::Draining),
             Self::NotAnnounced => Some(RetryReason::NotAnnounced),
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use crate::document::CallPriority;
-use crate::load::call_queue::CallQueue;
 use crate::load::call_queue::CallTicket;
 use crate::load::call_queue::JobLength;
 use crate::load::call_queue::WaitingCall;
@@ -18,6 +17,7 @@
 use crate::load::queue_order::QueueOrder;
 use crate::load::queue_order::StandingQueue;
 use crate::load::service_times::ServiceTimes;
+use crate::load::timely_queue::TimelyQueue;
 use crate::outbound_calls::OutboundCalls;
 use crate::outbound_calls::OutboundMark;
 use crate::refusal::RefusalReason;
@@ -28,6 +28,10 @@
 /// 1.6 % to its deadlines behind long jobs, with two none.
 const SHORT_PART: u32 = 4;
 
+/// How much longer than usual a job may take and still be in time when it
+/// was started at the last moment for it.
+const LATE_MARGIN: f64 = 1.25;
+
 /// What the backend server said of itself when it announced.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnnouncedServer {
@@ -54,6 +58,10 @@
     pub waited: Duration,
     /// Time until it is of no more use.
     pub left: Duration,
+    /// Time until its answer is worth less, where its route says so.
+    pub target_left: Option<Duration>,
+    /// False where another server is asked unless a slot is free here now.
+    pub may_wait: bool,
     /// True where a backend server makes it while it serves another.
     pub inner: bool,
 }
@@ -118,7 +126,7 @@
     running: HashMap<CallTicket, RunningCall>,
     running_long: u32,
     outbound: OutboundCalls,
-    queue: CallQueue,
+    queue: TimelyQueue,
     order: QueueOrder,
     standing: StandingQueue,
 }
@@ -141,7 +149,7 @@
             running: HashMap::new(),
             running_long: 0,
             outbound: OutboundCalls::default(),
-            queue: CallQueue::default(),
+            queue: TimelyQueue::default(),
             order,
             standing: StandingQueue::default(),
         }
@@ -210,6 +218,11 @@
             return vec![GateAction::Refuse(ticket, reason)];
         }
         let goes_first = call.inner && self.has_free_slot();
+        let full = !self.queue.is_empty() || self.in_flight() >= self.limit.allowed();
+        if full && !goes_first && !call.may_wait {
+            return vec![GateAction::Refuse(ticket, RefusalReason::NoFreeSlot)];
+        }
+        let expected = self.expected_wait();
         let least = self.times.least(&call.route);
         let patience = self.bounds.wait.saturating_sub(call.waited);
         let waiting = WaitingCall {
@@ -217,6 +230,7 @@
             length: self.times.length(&call.route),
             arrived_at: now.saturating_sub(call.waited),
             give_up_at: now + (call.left - least).min(patience),
+            late_at: self.late_at(now, &call),
             cost: self.times.cost(&call.route),
             route: call.route,
             customer: call.customer,
@@ -231,13 +245,40 @@
             self.start(now, waiting);
             return vec![GateAction::Start(ticket)];
         }
-        self.queue.push(waiting);
+        let in_time = waiting.late_at.is_none_or(|late| now + expected < late);
+        self.queue.push(waiting, in_time);
         let mut actions = Vec::new();
         self.fill(now, &mut actions);
         self.bound(now, &mut actions);
         actions
     }
 
+    /// Latest start from which an answer is in time; work that takes a
+    /// quarter longer than usual still is.
+    fn late_at(&self, now: Duration, call: &OfferedCall) -> Option<Duration> {
+        let work = self.times.cost(&call.route).mul_f64(LATE_MARGIN);
+        let target = call.target_left?;
+        Some(now + target.saturating_sub(work))
+    }
+
+    /// How long a call that came now would wait for a slot.
+    pub fn expected_wait(&self) -> Duration {
+        let allowed = self.limit.allowed();
+        if self.queue.is_empty() && self.in_flight() < allowed {
+            return Duration::ZERO;
+        }
+        let mut work = Duration::ZERO;
+        for call in self.running.values() {
+            let slowdown = self.times.slowdown(&call.route);
+            work += self.times.cost(&call.route).mul_f64(slowdown);
+        }
+        // Slots of equal work at random stages: one is free after a part of
+        // the mean that falls with their number.
+        let mean = work / self.in_flight().max(1);
+        let before = self.queue.timely() as u32 + 1;
+        mean * before / allowed.max(1)
+    }
+
     fn has_free_slot(&self) -> bool {
         let announced = self.announced.as_ref();
         announced.is_some_and(|server| self.in_flight() < server.slots)
@@ -340,7 +381,7 @@
         self.expire(now, actions);
         while self.in_flight() < self.limit.allowed() {
             let long_free = self.running_long < self.long_allowed();
-            let Some(call) = self.queue.pop(self.order, long_free) else {
+            let Some(call) = self.queue.pop(now, self.order, long_free) else {
                 break;
             };
             actions.push(GateAction::Start(call.ticket));
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -24,6 +24,12 @@
     /// Retries that all nodes together may save up for a service, beyond
     /// `RetryPercent`; 0 leaves ten to each node.
     RetryBurst,
+    /// Servers that a call is offered to for a slot that is free at once,
+    /// before it waits at one of them.
+    SlotProbes,
+    /// Waiting, in milliseconds, that it is worth to spare a kilobyte between
+    /// failure domains.
+    FarMsPerKb,
     /// Calls that may wait at a node for a slot of its backend server.
     QueueCalls,
     /// Longest wait in that queue, in milliseconds.
@@ -43,6 +49,8 @@
         Self::TriesMax,
         Self::RetryPercent,
         Self::RetryBurst,
+        Self::SlotProbes,
+        Self::FarMsPerKb,
         Self::QueueCalls,
         Self::QueueWaitMs,
         Self::MoveFirstShare,
@@ -57,6 +65,8 @@
             Self::TriesMax => "tries_max",
             Self::RetryPercent => "retry_percent",
             Self::RetryBurst => "retry_burst",
+            Self::SlotProbes => "slot_probes",
+            Self::FarMsPerKb => "far_ms_per_kb",
             Self::QueueCalls => "queue_calls",
             Self::QueueWaitMs => "queue_wait_ms",
             Self::MoveFirstShare => "move_first_share",
@@ -72,6 +82,8 @@
             Self::TriesMax => 3,
             Self::RetryPercent => 20,
             Self::RetryBurst => 0,
+            Self::SlotProbes => 0,
+            Self::FarMsPerKb => 0,
             Self::QueueCalls => 64,
             Self::QueueWaitMs => 1_000,
             Self::MoveFirstShare => 5,
@@ -87,6 +99,8 @@
             Self::TriesMax => 1..=10,
             Self::RetryPercent => 0..=100,
             Self::RetryBurst => 0..=100_000,
+            Self::SlotProbes => 0..=16,
+            Self::FarMsPerKb => 0..=1_000,
             Self::QueueCalls => 0..=100_000,
             Self::QueueWaitMs => 0..=600_000,
             Self::MoveFirstShare => 1..=500,
--- a/crates/core/tests/gate_chain.rs
+++ b/crates/core/tests/gate_chain.rs
@@ -23,6 +23,8 @@
 
 fn call() -> OfferedCall {
     OfferedCall {
+        target_left: None,
+        may_wait: true,
         service: "documents".into(),
         route: "/certificates".into(),
         customer: "".into(),
@@ -124,6 +126,8 @@
     }
     assert_eq!(gate.offer(now, 100, call()), []);
     let inner = OfferedCall {
+        target_left: None,
+        may_wait: true,
         inner: true,
         ..call()
     };
--- a/crates/core/tests/load_gate.rs
+++ b/crates/core/tests/load_gate.rs
@@ -45,6 +45,8 @@
 
 fn offered(customer: u8, priority: CallPriority, left: u64) -> OfferedCall {
     OfferedCall {
+        target_left: None,
+        may_wait: true,
         inner: false,
         service: "ledger".into(),
         route: format!("/route-{}", customer % 2).into(),
@@ -205,6 +207,7 @@
 
 fn waiting(ticket: u64, customer: usize, priority: CallPriority) -> WaitingCall {
     WaitingCall {
+        late_at: None,
         ticket,
         route: "/sales".into(),
         customer: format!("customer-{customer}").into(),
--- a/crates/core/tests/load_patterns/fake_fleet.rs
+++ b/crates/core/tests/load_patterns/fake_fleet.rs
@@ -376,6 +376,8 @@
         }
         let (path, priority, _) = self.plan.routes[fake.offered.route];
         let offered = OfferedCall {
+            target_left: None,
+            may_wait: true,
             inner: false,
             service: SERVICE.into(),
             route: path.into(),
@@ -478,6 +480,7 @@
             Entry::Real(router) => {
                 let plan = fake.plan.as_ref().unwrap();
                 let report = TryReport {
+                    bytes: None,
                     instance: instance(fake.server),
                     service: Arc::clone(&plan.service),
                     route: Arc::clone(&plan.route),
@@ -499,6 +502,7 @@
         let next = match &mut self.entries[at] {
             Entry::Real(router) => {
                 let server = cowslip_core::entry_router::ServerTry {
+                    may_wait: true,
                     instance: instance(fake.server),
                     address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
                     version: "v1".into(),
--- a/crates/core/tests/load_servers.rs
+++ b/crates/core/tests/load_servers.rs
@@ -23,6 +23,7 @@
 use cowslip_core::load::server_pool::ChoiceNeed;
 use cowslip_core::load::server_pool::ServerEvidence;
 use cowslip_core::load::server_pool::ServerPool;
+use cowslip_core::load::server_pool::SlotSearch;
 use cowslip_core::refusal::RefusalReason;
 
 const WARM: Duration = Duration::from_secs(60);
@@ -58,6 +59,7 @@
 
 fn need(tried: &[Arc<str>]) -> ChoiceNeed<'_> {
     ChoiceNeed {
+        search: SlotSearch::ByScore,
         tried,
         idempotent: true,
     }
@@ -217,6 +219,7 @@
     let others = ["server-0".into(), "server-2".into()];
     let back = WARM + millis(5_100);
     let acceptance = ChoiceNeed {
+        search: SlotSearch::ByScore,
         idempotent: false,
         ..need(&[])
     };
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -159,7 +159,8 @@
     }
 }
 
-fn stated_length(headers: &HeaderMap) -> Option<u64> {
+/// Length of a body as its head states it, in bytes.
+pub fn stated_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -22,6 +22,12 @@
 pub const PRIORITY: &str = "cowslip-priority";
 /// Between nodes: milliseconds since the call came to its entry node.
 pub const WAITED_MS: &str = "cowslip-waited-ms";
+/// Between nodes: milliseconds until the answer is worth less.
+pub const TARGET_MS: &str = "cowslip-target-ms";
+/// Between nodes: there where the call is not to wait for a slot.
+pub const FREE_SLOT: &str = "cowslip-free-slot";
+/// Between nodes: milliseconds that a call would wait for a slot now.
+pub const WAIT_MS: &str = "cowslip-wait-ms";
 /// Between nodes: there where a backend server makes the call.
 pub const INNER: &str = "cowslip-inner";
 /// Between nodes: 1 where the backend server is past its cold start.
@@ -61,7 +67,7 @@
 
 /// Headers that each hop writes anew, so a caller's or a backend server's
 /// own are never passed on.
-const REWRITTEN: [&str; 16] = [
+const REWRITTEN: [&str; 19] = [
     "host",
     "content-length",
     "expect",
@@ -78,6 +84,9 @@
     REPLAYED,
     SERVER_RUN,
     CALLER_SERVICE,
+    TARGET_MS,
+    FREE_SLOT,
+    WAIT_MS,
 ];
 
 /// Whether a header goes on to the next hop as it is.
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -287,7 +287,7 @@
         loop {
             let mut guard = TryGuard::new(self.entry.clone(), &planned);
             let started = BootInstant::now();
-            let tried = self.attempt(&planned, parts, body).await;
+            let tried = self.attempt(&mut planned, parts, body).await;
             self.measure(&planned, started.elapsed(), &tried).await;
             let failure = match tried {
                 Ok(answer) => {
@@ -332,15 +332,17 @@
 
     async fn attempt(
         &self,
-        planned: &PlannedTry,
+        planned: &mut PlannedTry,
         parts: &CallParts,
         body: &mut CallBody,
     ) -> Result<HopAnswer, TryFailure> {
-        let request = parts.hop_request(&self.dialect, self.peer_headers(planned));
+        let request =
+            parts.hop_request(&self.dialect, self.peer_headers(planned, body.is_held()));
         let address = planned.server.address;
         let give_up_at = BootInstant::now() + planned.left;
         let sending = self.pools.send(address, &request, body, planned.left);
         let mut answer = sending.await?;
+        planned.told_wait = told_wait(&answer);
         // Short answers are held until they are whole: one that breaks off
         // can then still be asked for again, where that does no harm.
         let left = give_up_at.saturating_duration_since(BootInstant::now());
@@ -363,7 +365,7 @@
         }
     }
 
-    fn peer_headers(&self, planned: &PlannedTry) -> HopHeaders {
+    fn peer_headers(&self, planned: &PlannedTry, repeatable: bool) -> HopHeaders {
         let plan = &planned.plan;
         let left = deadline_budget::for_next_hop(planned.left);
         let waited_ms = planned.waited.as_millis().to_string();
@@ -375,6 +377,13 @@
             (call_headers::WAITED_MS, waited_ms),
             (call_headers::DEADLINE_MS, left.as_millis().to_string()),
         ];
+        if let Some(target) = planned.target_left {
+            told.push((call_headers::TARGET_MS, target.as_millis().to_string()));
+        }
+        // A body that streams is spent with the first offer.
+        if !planned.server.may_wait && repeatable {
+            told.push((call_headers::FREE_SLOT, "1".to_owned()));
+        }
         if plan.origin == CallOrigin::Backend {
             told.push((call_headers::INNER, "1".to_owned()));
         }
@@ -449,6 +458,13 @@
     reply
 }
 
+/// How long a call would wait at the server now, as its node says.
+fn told_wait(answer: &HopAnswer) -> Option<Duration> {
+    let value = answer.head.headers().get(call_headers::WAIT_MS)?;
+    let millis = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
 /// What the server's node says where no backend server answered.
 fn refused_by_peer(answer: &HopAnswer) -> Option<TryFailure> {
     let text = |name: &str| answer.head.headers().get(name)?.to_str().ok();
@@ -483,7 +499,7 @@
         let Some(EntryMessage::Abandoned(instance)) = self.message.take() else {
             return;
         };
-        self.message = Some(EntryMessage::Ended(TryReport {
+        let report = TryReport {
             instance,
             service: Arc::clone(&plan.service),
             route: Arc::clone(&plan.route),
@@ -491,7 +507,9 @@
             priority: plan.priority,
             status: answer.head.status.as_u16(),
             taken,
-        }));
+            bytes: call_forward::stated_length(answer.head.headers()),
+        };
+        self.message = Some(EntryMessage::Ended(report, told_wait(answer)));
     }
 
     /// The task is told of the end by another message.
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -69,6 +69,10 @@
     pub left: Duration,
     /// Time since the call came in.
     pub waited: Duration,
+    /// Time left in which the answer is worth most.
+    pub target_left: Option<Duration>,
+    /// What the server's node told of the wait there.
+    pub told_wait: Option<Duration>,
     /// Why this is not the first try.
     pub retry: Option<RetryReason>,
     /// True where the service is under a move, so that the try counts as
@@ -95,8 +99,9 @@
     Admit(OwnedHead, oneshot::Sender<TryAnswer>),
     /// A try failed; what now?
     Failed(PlannedTry, TryFailure, oneshot::Sender<TryAnswer>),
-    /// A try's answer has been passed on whole, or was given up.
-    Ended(TryReport),
+    /// A try's answer has been passed on whole, or was given up; the wait
+    /// that the server's node told with it.
+    Ended(TryReport, Option<Duration>),
     /// A try at the instance was given up before any answer.
     Abandoned(Arc<str>),
     /// What a try of a service under a move came to.
@@ -179,8 +184,12 @@
                 let answer = self.failed(failed, failure);
                 self.hand_over(reply, answer);
             }
-            EntryMessage::Ended(report) => {
-                self.router.ended(self.started.elapsed(), &report);
+            EntryMessage::Ended(report, told_wait) => {
+                let now = self.started.elapsed();
+                if let Some(wait) = told_wait {
+                    self.router.told(now, &report.instance, wait);
+                }
+                self.router.ended(now, &report);
             }
             EntryMessage::Abandoned(instance) => {
                 self.router.abandoned(self.started.elapsed(), &instance);
@@ -241,6 +250,8 @@
                 measured: self.router.guard().measures(&plan.service),
                 left: plan.deadline_at.saturating_sub(now),
                 waited: now.saturating_sub(plan.arrived_at),
+                target_left: plan.target_at.map(|at| at.saturating_sub(now)),
+                told_wait: None,
                 plan,
                 server,
                 retry,
@@ -254,6 +265,9 @@
 
     fn failed(&mut self, failed: PlannedTry, failure: TryFailure) -> TryAnswer {
         let now = self.started.elapsed();
+        if let Some(wait) = failed.told_wait {
+            self.router.told(now, &failed.server.instance, wait);
+        }
         let mut plan = failed.plan;
         let server = &failed.server;
         match self.router.failed(now, &mut plan, server, failure) {
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -1,8 +1,10 @@
 //! The task that owns the backend server's gate: its slots, its drain, and
 //! what the directory is told of it.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -110,7 +112,21 @@
 /// The queue's bounds by service, from the configuration in force.
 pub type GateBounds = HashMap<Arc<str>, QueueBounds>;
 
+/// What can be seen of the gate at any time.
+#[derive(Clone, Debug, Default)]
+pub struct GateView {
+    wait: Rc<Cell<Duration>>,
+}
+
+impl GateView {
+    /// How long a call that came now would wait for a slot.
+    pub fn wait(&self) -> Duration {
+        self.wait.get()
+    }
+}
+
 struct GateTask {
+    view: GateView,
     place: GatePlace,
     gate: ServerGate,
     presence: ServerPresence,
@@ -130,11 +146,21 @@
 pub fn spawn(
     place: GatePlace,
     records: mpsc::UnboundedSender<EndpointRecord>,
+) -> mpsc::UnboundedSender<GateMessage> {
+    spawn_viewed(place, records, GateView::default())
+}
+
+/// The same, with a view that it keeps up to date.
+pub fn spawn_viewed(
+    place: GatePlace,
+    records: mpsc::UnboundedSender<EndpointRecord>,
+    view: GateView,
 ) -> mpsc::UnboundedSender<GateMessage> {
     // Unbounded: every sender waits for its answer or sends one end for
     // each slot, so there are at most as many messages as connections.
     let (sender, receiver) = mpsc::unbounded_channel();
     let task = GateTask {
+        view,
         place,
         gate: ServerGate::default(),
         presence: ServerPresence::default(),
@@ -166,6 +192,7 @@
                     self.carry_out(actions);
                 }
             }
+            self.view.wait.set(self.gate.expected_wait());
         }
     }
 
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -36,6 +36,7 @@
 use crate::gate_task;
 use crate::gate_task::GateMessage;
 use crate::gate_task::GatePlace;
+use crate::gate_task::GateView;
 use crate::gate_task::ServerReport;
 use crate::holder_task;
 use crate::local_handler::LocalHandler;
@@ -173,7 +174,8 @@
             failure_domain: Arc::clone(&settings.failure_domain),
             address: sockets.peer.local_addr()?,
         };
-        let gate = gate_task::spawn(place, records);
+        let gate_view = GateView::default();
+        let gate = gate_task::spawn_viewed(place, records, gate_view.clone());
         let view = NodeView {
             configured: Rc::new(Cell::new(false)),
             stage: Rc::new(Cell::new(NodeStage::Open)),
@@ -215,6 +217,7 @@
         let peer_desk = PeerDesk {
             pools,
             dialect,
+            view: gate_view,
             system_key: settings.system_key.clone(),
             gate: gate.clone(),
             holder: holder_task::spawn(),
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -42,6 +42,7 @@
 use crate::entry_handler::refusal_reply;
 use crate::entry_task::CallRefusal;
 use crate::gate_task::GateMessage;
+use crate::gate_task::GateView;
 use crate::gate_task::SlotGrant;
 use crate::holder_task::HolderMessage;
 use crate::hop::HopAnswer;
@@ -58,6 +59,8 @@
     pub dialect: Rc<CallDialect>,
     /// Key between nodes.
     pub system_key: AccessKey,
+    /// What can be seen of the gate.
+    pub view: GateView,
     /// The gate's task.
     pub gate: mpsc::UnboundedSender<GateMessage>,
     /// This node's memory of claims.
@@ -101,7 +104,7 @@
         if is_claim(&request) {
             return self.claim(request).await.unwrap_or_else(|refused| refused);
         }
-        match self.call(request).await {
+        let mut reply = match self.call(request).await {
             Ok(reply) => {
                 self.metrics.answered();
                 reply
@@ -114,7 +117,10 @@
                 };
                 refusal_reply(refusal, &self.dialect)
             }
-        }
+        };
+        let wait_ms = self.view.wait().as_millis().to_string();
+        http_reply::set_header(&mut reply, call_headers::WAIT_MS, &wait_ms);
+        reply
     }
 
     async fn call(&self, mut request: Request) -> Result<HttpReply, TryFailure> {
@@ -261,6 +267,10 @@
         priority,
         waited: Duration::from_millis(waited.map_err(|_| bad)?),
         left: left.ok_or(bad)?,
+        target_left: text(call_headers::TARGET_MS)
+            .and_then(|millis| millis.parse().ok())
+            .map(Duration::from_millis),
+        may_wait: !request.headers().contains_key(call_headers::FREE_SLOT),
         inner: request.headers().contains_key(call_headers::INNER),
     })
 }
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -22,6 +22,7 @@
 use cowslip_node::gate_task::GateBounds;
 use cowslip_node::gate_task::GateMessage;
 use cowslip_node::gate_task::GatePlace;
+use cowslip_node::gate_task::GateView;
 use cowslip_node::holder_task;
 use cowslip_node::peer_handler::PeerDesk;
 use cowslip_node::peer_handler::PeerHandler;
@@ -82,6 +83,7 @@
     let desk = PeerDesk {
         pools: CallPools::new(),
         dialect: Rc::default(),
+        view: GateView::default(),
         system_key: AccessKey::new(KEY),
         gate,
         holder: holder_task::spawn(),
