--- a/crates/control/src/rollout_task.rs
+++ b/crates/control/src/rollout_task.rs
@@ -43,8 +43,8 @@
 const MESSAGES_MAX: usize = 4_096;
 
 /// How long counts are gathered before they go to the leader, so that a
-/// relay's 290 nodes reach it as four messages a second.
-const GATHER_TIME: Duration = Duration::from_millis(250);
+/// relay's 290 nodes reach it as ten messages a second.
+const GATHER_TIME: Duration = Duration::from_millis(100);
 
 /// Counts not taken by the leader within this time are sent anew.
 const PASS_PATIENCE: Duration = Duration::from_secs(2);
--- a/crates/core/src/load/server_pool.rs
+++ b/crates/core/src/load/server_pool.rs
@@ -55,6 +55,10 @@
 /// trip, and some for the noise of what is expected.
 const FAR_LEAD: Duration = Duration::from_millis(20);
 
+/// What staying is worth up to which a free slot in another failure domain
+/// is taken before the wait for a near one is known.
+const FAR_AT_ONCE: Duration = Duration::from_millis(30);
+
 /// What a call asks of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceNeed<'a> {
@@ -261,6 +265,10 @@
     ) -> Option<PoolPlace> {
         let mut best: Option<(Duration, PoolPlace)> = None;
         for side in [NEAR, FAR] {
+            // Large answers wait for a near slot rather than travel.
+            if side == FAR && free && costs.far > FAR_AT_ONCE {
+                continue;
+            }
             let servers = &self.sides[side];
             let far = if side == FAR {
                 costs.far + FAR_LEAD
--- a/crates/core/src/rollout/rollout_book.rs
+++ b/crates/core/src/rollout/rollout_book.rs
@@ -146,6 +146,7 @@
             reason: reason.clone(),
             if_quiet: *if_quiet,
             step_calls: document.tuning(TuningKey::MoveStepCalls, &place),
+            proving: document.tuning(TuningKey::MoveProving, &place) > 0,
             started_ms: at_ms,
             due_ms,
             steps: vec![ShareStep {
--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -25,6 +25,7 @@
 use crate::rollout::rollout_judge::FALSE_ALARM_FLEET;
 use crate::rollout::rollout_record::RolloutRecord;
 use crate::rollout::share_plan::DoublingPlan;
+use crate::rollout::share_plan::ProvingPlan;
 use crate::rollout::share_plan::QuietChoice;
 use crate::rollout::share_plan::SharePlan;
 use crate::rollout::share_plan::HELD_SHARE;
@@ -33,8 +34,9 @@
 use crate::rollout::share_plan::LAST_SHARE;
 use crate::rollout::share_plan::WHOLE;
 
-/// Pause between two looks of the leader.
-pub const DRIVER_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks of the leader. Three looks decide against gross
+/// badness, so each counts in what a bad version gets.
+pub const DRIVER_PAUSE: Duration = Duration::from_millis(150);
 
 /// Part of the evidence needed for a verdict at which growth waits: about
 /// two failures where the share is small.
@@ -114,7 +116,11 @@
     /// A driver for a move with this record.
     pub fn new(record: &RolloutRecord) -> Self {
         let first = record.steps.first().map_or(1, |step| step.share_per_mille);
-        let plan = Box::new(DoublingPlan { first });
+        let plan: Box<dyn SharePlan> = if record.proving {
+            Box::new(ProvingPlan { first })
+        } else {
+            Box::new(DoublingPlan { first })
+        };
         Self::with_parts(plan, RolloutJudge::new(FALSE_ALARM_FLEET))
     }
 
--- a/crates/core/src/rollout/rollout_record.rs
+++ b/crates/core/src/rollout/rollout_record.rs
@@ -55,6 +55,9 @@
     pub if_quiet: QuietChoice,
     /// Calls of the new version wanted before each step.
     pub step_calls: u64,
+    /// True where what a bad version may get in all is bounded.
+    #[serde(default)]
+    pub proving: bool,
     /// Wall clock of the start, milliseconds since 1970.
     pub started_ms: u64,
     /// Wall clock by which it must be done.
--- a/crates/core/src/rollout/share_plan.rs
+++ b/crates/core/src/rollout/share_plan.rs
@@ -69,6 +69,52 @@
     }
 }
 
+/// Part of the time at which the growth beyond [`PROVING_SHARE`] begins where
+/// what a bad version may get is bounded.
+const PROVED_PART: f64 = 0.42;
+
+/// Share until then, in thousandths: enough for a verdict on what shows at
+/// once or soon, and a tenth of what is allowed in all.
+const PROVING_SHARE: f64 = 40.0;
+
+/// Length of each doubling after it, as a part of the time: a second of a
+/// move of 14 s, in which a verdict comes.
+const PROVED_STEP: f64 = 0.07;
+
+/// Part of the time at which the last check of such a move begins.
+const PROVED_LAST_PART: f64 = 0.79;
+
+/// Small until much of the time is over, then doubles.
+///
+/// Load pattern: a version that is bad only under load or after a while, and
+/// a bound on the calls that it may get in all. With the share doubled from
+/// the start, a version that failed under load had got 442 of 2,804 calls
+/// when it was withdrawn; what it gets in each later step here is what a
+/// verdict takes, and all of them together stay below a tenth.
+#[derive(Clone, Copy, Debug)]
+pub struct ProvingPlan {
+    /// Share of the first step, in thousandths.
+    pub first: u16,
+}
+
+impl SharePlan for ProvingPlan {
+    fn share_at(&self, part: f64) -> u16 {
+        if part >= PROVED_LAST_PART {
+            return LAST_SHARE;
+        }
+        if part < PROVED_PART {
+            let first = f64::from(self.first.max(1));
+            let doublings = (PROVING_SHARE / first).log2().ceil().max(0.0);
+            // All of them within the first half of the proving time.
+            let step = (part / PROVED_PART * 2.0 * (doublings + 1.0)).floor();
+            return (first * step.exp2()).min(PROVING_SHARE) as u16;
+        }
+        let step = ((part - PROVED_PART) / PROVED_STEP).floor() + 1.0;
+        let share = PROVING_SHARE * step.exp2();
+        share.min(f64::from(HELD_SHARE)) as u16
+    }
+}
+
 /// Doubles from the first share to [`HELD_SHARE`], then holds.
 #[derive(Clone, Copy, Debug)]
 pub struct DoublingPlan {
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -42,6 +42,9 @@
     MoveFirstShare,
     /// Calls of a new version wanted before each step of its share.
     MoveStepCalls,
+    /// 1 where what a bad version may get in all is bounded: its share then
+    /// stays small until much of the time is over.
+    MoveProving,
     /// Least time that a move may be given, in seconds.
     MoveLeastSeconds,
 }
@@ -60,6 +63,7 @@
         Self::QueueWaitMs,
         Self::MoveFirstShare,
         Self::MoveStepCalls,
+        Self::MoveProving,
         Self::MoveLeastSeconds,
     ];
 
@@ -77,6 +81,7 @@
             Self::QueueWaitMs => "queue_wait_ms",
             Self::MoveFirstShare => "move_first_share",
             Self::MoveStepCalls => "move_step_calls",
+            Self::MoveProving => "move_proving",
             Self::MoveLeastSeconds => "move_least_seconds",
         }
     }
@@ -95,6 +100,7 @@
             Self::QueueWaitMs => 1_000,
             Self::MoveFirstShare => 5,
             Self::MoveStepCalls => 30,
+            Self::MoveProving => 0,
             Self::MoveLeastSeconds => 20,
         }
     }
@@ -113,6 +119,7 @@
             Self::QueueWaitMs => 0..=600_000,
             Self::MoveFirstShare => 1..=500,
             Self::MoveStepCalls => 1..=1_000_000,
+            Self::MoveProving => 0..=1,
             Self::MoveLeastSeconds => 5..=86_400,
         }
     }
--- a/crates/core/tests/rollout_driver.rs
+++ b/crates/core/tests/rollout_driver.rs
@@ -24,6 +24,7 @@
 
 fn record(if_quiet: QuietChoice) -> RolloutRecord {
     RolloutRecord {
+        proving: false,
         rollout: MOVE,
         service: "ledger".into(),
         from: "v1".into(),
@@ -189,8 +190,9 @@
         new_slots: 10,
         ..sound_fleet()
     };
-    // 800 calls of 10 ms in half a second keep 16 slots busy.
-    let driven = drive(record(QuietChoice::Finish), sight, 800);
+    // 1,600 calls of 10 ms in a second keep 16 slots busy.
+    let each_look = 1_600 * DRIVER_PAUSE.as_millis() as u64 / 1_000;
+    let driven = drive(record(QuietChoice::Finish), sight, each_look);
     assert_eq!(driven.finished_at, None);
     assert_eq!(driven.wait, Some(StepWait::FewSlots));
     let share = f64::from(driven.record.share()) / 1_000.0;
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -507,7 +507,8 @@
             priority: plan.priority,
             status: answer.head.status.as_u16(),
             taken,
-            bytes: call_forward::stated_length(answer.head.headers()),
+            bytes: call_forward::stated_length(answer.head.headers())
+                .or(Some(answer.body.held().len() as u64)),
         };
         self.message = Some(EntryMessage::Ended(report, told_wait(answer)));
     }
--- a/crates/node/src/evidence_task.rs
+++ b/crates/node/src/evidence_task.rs
@@ -16,36 +16,36 @@
 
 use crate::entry_task::EntryMessage;
 
-/// Pause between two reports. A report of three routes takes about 1 KB of
-/// the 16 KB a second that a node may spend on control.
-const REPORT_PAUSE: Duration = Duration::from_secs(1);
-
 /// A report not taken within this time is given up on: the next one holds
 /// all that it held.
 const REPORT_PATIENCE: Duration = Duration::from_secs(2);
 
-/// Starts looking and reporting to the control instance in use. The looks
-/// go on whatever becomes of the reports.
+/// Starts looking and reporting to the control instance in use, every `pause`
+/// while a service is under a move. The looks go on whatever becomes of the
+/// reports.
 pub fn spawn(
     entry: mpsc::Sender<EntryMessage>,
     client: PeerClient,
     control: watch::Receiver<SocketAddr>,
+    pause: Duration,
 ) {
     let (newest, reports) = watch::channel(None);
-    actix_rt::spawn(look(entry, newest));
+    actix_rt::spawn(look(entry, newest, pause));
     actix_rt::spawn(send(reports, client, control));
 }
 
 async fn look(
     entry: mpsc::Sender<EntryMessage>,
     newest: watch::Sender<Option<EvidenceReport>>,
+    pause: Duration,
 ) {
+    let between = LOOK_PAUSE.min(pause);
     let mut since_report = Duration::ZERO;
     loop {
-        actix_rt::time::sleep(LOOK_PAUSE).await;
-        since_report += LOOK_PAUSE;
+        actix_rt::time::sleep(between).await;
+        since_report += between;
         let (reply, report) = oneshot::channel();
-        let due = since_report >= REPORT_PAUSE;
+        let due = since_report >= pause;
         if entry.send(EntryMessage::Look(due, reply)).await.is_err() {
             return;
         }
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -215,7 +215,12 @@
             gate: gate.clone(),
             metrics: FollowMetrics::new(&mut registry),
         });
-        evidence_task::spawn(entry.clone(), peers.clone(), control.clone());
+        evidence_task::spawn(
+            entry.clone(),
+            peers.clone(),
+            control.clone(),
+            settings.evidence_pause,
+        );
         let claims =
             ClaimDesk::new(Arc::clone(&settings.instance), entry.clone(), peers.clone());
         actix_rt::spawn(follow_task::publish(control, seed, peers, published));
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -20,6 +20,10 @@
 /// every four seconds, for fleets of thousands.
 const FOLLOW_WAIT: Duration = Duration::from_secs(4);
 
+/// A report of three routes takes about 1 KB of the 16 KB a second that a
+/// node may spend on control.
+const EVIDENCE_PAUSE: Duration = Duration::from_secs(1);
+
 /// What a node is told at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -44,6 +48,8 @@
     /// Wait that is asked of a control instance where it has no news. One
     /// that has died is noticed this much later, and half a second or so.
     pub follow_wait: Duration,
+    /// Pause between two reports of a move's counts.
+    pub evidence_pause: Duration,
     /// Service of the backend server beside it, where the node is told; the
     /// server need not say it itself then.
     pub service: Option<Arc<str>>,
@@ -74,6 +80,7 @@
             system_key,
             drain_notice: DRAIN_NOTICE,
             follow_wait: FOLLOW_WAIT,
+            evidence_pause: EVIDENCE_PAUSE,
             service: None,
             server: None,
             stop_within: None,
@@ -95,6 +102,7 @@
             reader.required("system_key", "the secret of the control instances");
         let drain_notice = reader.optional("drain_notice", "a time such as 2s");
         let follow_wait = reader.optional("follow_wait", "a time such as 4s");
+        let evidence_pause = reader.optional("evidence_pause", "a time such as 1s");
         let service = reader.optional::<String>("service", "the service beside it");
         let server = reader.optional("server", ADDRESS);
         let stop_within = reader.optional("stop_within", "a time such as 30s");
@@ -113,6 +121,8 @@
             drain_notice: drain_notice
                 .map_or(DRAIN_NOTICE, |SettingsTime(notice)| notice),
             follow_wait: follow_wait.map_or(FOLLOW_WAIT, |SettingsTime(wait)| wait),
+            evidence_pause: evidence_pause
+                .map_or(EVIDENCE_PAUSE, |SettingsTime(pause)| pause),
             service: service.map(Arc::from),
             server,
             stop_within: stop_within.map(|SettingsTime(within)| within),
