--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -148,6 +148,11 @@
 }
 
 impl CallPlan {
+    /// True where running it twice does no harm.
+    pub fn is_idempotent(&self) -> bool {
+        self.idempotent
+    }
+
     /// Nothing can be sent again: a body that streamed is spent.
     pub fn forbid_retry(&mut self) {
         self.tries.tries_left = 0;
@@ -385,6 +390,12 @@
             Some(rule) => rule == RepeatRule::Idempotent,
             None => head.idempotent,
         };
+        let pressure = self.pressures.entry(Arc::clone(service));
+        let pressure = pressure.or_default();
+        let age = head.deadline.map_or(Duration::ZERO, |deadline| {
+            pressure.age(now, &route.path, deadline)
+        });
+        let target = route.target_ms.map(Duration::from_millis);
         let plan = CallPlan {
             service: Arc::clone(service),
             route: Arc::clone(&route.path),
@@ -395,7 +406,7 @@
             verdict: CallVerdict::NotRun,
             idempotent,
             origin: head.origin,
-            target_at: route.target_ms.map(|ms| now + Duration::from_millis(ms)),
+            target_at: target.map(|target| now + target.saturating_sub(age)),
             tries: TryAllowance::of(route, tries),
             seeks_slots: probes > 0,
             probes_left: probes,
@@ -404,8 +415,6 @@
             tried: Vec::new(),
             failed_for: None,
         };
-        let pressure = self.pressures.entry(Arc::clone(&plan.service));
-        let pressure = pressure.or_default();
         if !pressure.admit(now, &plan.customer, plan.priority, &mut self.rng) {
             return Err(RefusalReason::CustomerLimit);
         }
@@ -562,9 +571,9 @@
         RefusalReason::Draining
         | RefusalReason::Stopping
         | RefusalReason::NotAnnounced => ServerEvidence::Away,
-        RefusalReason::ConnectFailed | RefusalReason::ConnectionBroken => {
-            ServerEvidence::Failed
-        }
+        RefusalReason::ConnectFailed
+        | RefusalReason::ConnectionBroken
+        | RefusalReason::ServerFailed => ServerEvidence::Failed,
         // No answer in time; a refusal for want of time says nothing.
         RefusalReason::DeadlinePassed if failure.verdict != CallVerdict::NotRun => {
             ServerEvidence::Failed
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -7,6 +7,7 @@
 //! an entry node.
 
 pub mod call_queue;
+pub mod caller_ages;
 pub mod concurrency_limit;
 pub mod customer_lane;
 pub mod customer_throttle;
--- a/crates/core/src/load/service_pressure.rs
+++ b/crates/core/src/load/service_pressure.rs
@@ -9,6 +9,7 @@
 
 use crate::document::CallPriority;
 use crate::entry_router::TryReport;
+use crate::load::caller_ages::CallerAges;
 use crate::load::customer_throttle::CustomerThrottle;
 use crate::load::retry_budget::RetryBudget;
 use crate::load::server_pool::ServerEvidence;
@@ -31,6 +32,7 @@
     pub budget: RetryBudget,
     times: ServiceTimes,
     sizes: HashMap<Arc<str>, f64>,
+    ages: CallerAges,
     throttle: Option<CustomerThrottle>,
     refused_at: Duration,
 }
@@ -71,6 +73,17 @@
         ServerEvidence::Answered(ratio)
     }
 
+    /// How long ago the caller of a call that gives it `deadline` began to
+    /// ask.
+    pub fn age(
+        &mut self,
+        now: Duration,
+        route: &Arc<str>,
+        deadline: Duration,
+    ) -> Duration {
+        self.ages.age(now, route, deadline)
+    }
+
     /// Usual time of the work on `route`.
     pub fn usual(&self, route: &str) -> Duration {
         self.times.cost(route)
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -73,6 +73,9 @@
         ConnectFailed => "connect-failed",
         /// The connection broke after the request had been sent.
         ConnectionBroken => "connection-broken",
+        /// The backend server ran the call and failed it; callers receive the
+        /// server's own answer.
+        ServerFailed => "server-failed",
         /// The request's body is larger than the limit.
         BodyTooLarge => "body-too-large",
         /// The request's body ended before its stated length.
@@ -109,6 +112,8 @@
         ServerRefused => "server-refused",
         /// No connection to the server's node could be made.
         ConnectFailed => "connect-failed",
+        /// An idempotent call that the backend server failed.
+        ServerFailed => "server-failed",
         /// An idempotent call whose connection broke.
         ConnectionBroken => "connection-broken",
     }
@@ -126,6 +131,7 @@
             Self::ServerRefused => Some(RetryReason::ServerRefused),
             Self::ConnectFailed => Some(RetryReason::ConnectFailed),
             Self::ConnectionBroken => Some(RetryReason::ConnectionBroken),
+            Self::ServerFailed => Some(RetryReason::ServerFailed),
             _ => None,
         }
     }
@@ -156,7 +162,7 @@
             Self::ClaimUnanswered | Self::AnswerNotKept => 409,
             Self::KeyReused => 422,
             Self::DeadlinePassed => 504,
-            Self::ConnectFailed | Self::ConnectionBroken => 502,
+            Self::ConnectFailed | Self::ConnectionBroken | Self::ServerFailed => 502,
             _ => 503,
         }
     }
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -228,13 +228,20 @@
             return vec![GateAction::Refuse(ticket, RefusalReason::NoFreeSlot)];
         }
         let expected = self.expected_wait();
-        let least = self.times.least(&call.route);
+        // Guards against work that is begun too late to end in time: its slot
+        // is lost for calls that could still be answered. Where slots are
+        // free a quick run may do, where calls wait the usual one counts.
+        let work = if full {
+            self.times.cost(&call.route)
+        } else {
+            self.times.least(&call.route)
+        };
         let patience = self.bounds.wait.saturating_sub(call.waited);
         let waiting = WaitingCall {
             ticket,
             length: self.times.length(&call.route),
             arrived_at: now.saturating_sub(call.waited),
-            give_up_at: now + (call.left - least).min(patience),
+            give_up_at: now + call.left.saturating_sub(work).min(patience),
             late_at: self.late_at(now, &call),
             cost: self.times.cost(&call.route),
             route: call.route,
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -284,12 +284,22 @@
         parts: &CallParts,
         body: &mut CallBody,
     ) -> Result<HttpReply, CallRefusal> {
+        // An answer by which a server failed the call, while another server
+        // is asked. Where no other helps, the caller gets it as it came.
+        let mut failed_answer: Option<HopAnswer> = None;
         loop {
             let mut guard = TryGuard::new(self.entry.clone(), &planned);
             let started = BootInstant::now();
             let tried = self.attempt(&mut planned, parts, body).await;
             self.measure(&planned, started.elapsed(), &tried).await;
             let failure = match tried {
+                Ok(answer) if may_ask_another(&answer, &planned, body) => {
+                    failed_answer = Some(answer);
+                    TryFailure {
+                        verdict: CallVerdict::Ran,
+                        reason: RefusalReason::ServerFailed,
+                    }
+                }
                 Ok(answer) => {
                     guard.answered(&planned.plan, &answer, started.elapsed());
                     let give_up_at = started + planned.left;
@@ -304,7 +314,17 @@
             let (reply, answer) = oneshot::channel();
             let so_far = planned.plan.verdict.max(failure.verdict);
             let failed = EntryMessage::Failed(planned, failure, reply);
-            planned = self.ask(failed, answer, so_far).await?;
+            planned = match (self.ask(failed, answer, so_far).await, failed_answer.take())
+            {
+                (Ok(next), held) => {
+                    failed_answer = held;
+                    next
+                }
+                (Err(_), Some(answer)) => {
+                    return Ok(pass_answer(answer, parts, BootInstant::now(), ()));
+                }
+                (Err(refusal), None) => return Err(refusal),
+            };
             if let Some(reason) = planned.retry {
                 self.metrics.retried(reason);
             }
@@ -446,11 +466,26 @@
     name.to_ascii_lowercase()
 }
 
-fn pass_answer(
+/// Whether a server's failure may be mended by another server: the call is
+/// idempotent, and both its body and the answer are held whole.
+fn may_ask_another(answer: &HopAnswer, planned: &PlannedTry, body: &CallBody) -> bool {
+    let failed = [
+        StatusCode::INTERNAL_SERVER_ERROR,
+        StatusCode::BAD_GATEWAY,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    failed.contains(&answer.head.status)
+        && planned.plan.is_idempotent()
+        && planned.plan.origin == CallOrigin::Outside
+        && body.is_held()
+        && answer.body.is_whole()
+}
+
+fn pass_answer<G: 'static>(
     answer: HopAnswer,
     parts: &CallParts,
     give_up_at: BootInstant,
-    guard: TryGuard,
+    guard: G,
 ) -> HttpReply {
     let mut reply = call_forward::pass_back(answer, &parts.method, give_up_at, guard);
     let verdict = CallVerdict::Ran.as_str();
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -11,11 +11,13 @@
 use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use cowslip_core::claim::KeyDigest;
 use cowslip_core::claim::ROSTER_LEASE;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
+use cowslip_core::document::FleetDocument;
 use cowslip_core::entry_router::CallHead;
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::entry_router::CallPlan;
@@ -32,6 +34,7 @@
 use cowslip_core::verdict::CallVerdict;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::http_listener::ListenerTimes;
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
@@ -137,21 +140,48 @@
     failure_domain: Arc<str>,
     router: EntryRouter,
     gate: mpsc::UnboundedSender<GateMessage>,
-    configured: Rc<Cell<bool>>,
-    expectation: ServerExpectation,
+    hooks: InstallHooks,
     refused: Option<ConfigVersion>,
     heard: Option<BootInstant>,
     started: BootInstant,
     incarnation: u64,
 }
 
-/// Starts the task; `configured` is set once a configuration is in force.
+/// What of the node goes by the configuration in force, beside routing.
+pub struct InstallHooks {
+    /// Set once a configuration is in force.
+    pub configured: Rc<Cell<bool>>,
+    /// The backend server that the node is told of.
+    pub expectation: ServerExpectation,
+    /// Times that the callers' listener keeps.
+    pub times: watch::Sender<ListenerTimes>,
+}
+
+impl InstallHooks {
+    fn installed(&self, document: &FleetDocument) {
+        if !self.configured.replace(true) {
+            self.expectation.ask(document);
+        }
+        let own = ListenerTimes::default();
+        let millis = |set: Option<u64>| set.map(Duration::from_millis);
+        let times = ListenerTimes {
+            head: millis(document.limits.head_ms).unwrap_or(own.head),
+            idle: millis(document.limits.idle_ms).unwrap_or(own.idle),
+        };
+        self.times.send_if_modified(|held| {
+            let changed = *held != times;
+            *held = times;
+            changed
+        });
+    }
+}
+
+/// Starts the task.
 pub fn spawn(
     instance: Arc<str>,
     failure_domain: Arc<str>,
     gate: mpsc::UnboundedSender<GateMessage>,
-    configured: Rc<Cell<bool>>,
-    expectation: ServerExpectation,
+    hooks: InstallHooks,
     seed: u64,
 ) -> mpsc::Sender<EntryMessage> {
     let (sender, receiver) = mpsc::channel(MESSAGES_MAX);
@@ -159,8 +189,7 @@
         incarnation: wall_clock::millis(),
         router: EntryRouter::new(Arc::clone(&failure_domain), seed),
         gate,
-        configured,
-        expectation,
+        hooks,
         instance,
         failure_domain,
         refused: None,
@@ -299,9 +328,7 @@
                     "event=version-applied process=node instance={} failure_domain={} version={version}",
                     self.instance, self.failure_domain
                 );
-                if !self.configured.replace(true) {
-                    self.expectation.ask(self.router.document());
-                }
+                self.hooks.installed(self.router.document());
                 self.configure_gate();
             }
             Ok(false) => {}
--- a/crates/node/src/hop/answer_body.rs
+++ b/crates/node/src/hop/answer_body.rs
@@ -65,6 +65,11 @@
         Ok(false)
     }
 
+    /// True where nothing is left to be read from the connection.
+    pub fn is_whole(&self) -> bool {
+        self.connection.is_none()
+    }
+
     /// Bytes that were read ahead.
     pub fn held(&self) -> &Bytes {
         &self.held
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_wire::admin_page::AdminPage;
@@ -19,6 +20,7 @@
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
+use cowslip_wire::http_listener::ListenerTimes;
 use cowslip_wire::peer_client::PeerClient;
 
 use crate::call_dialect::CallDialect;
@@ -29,6 +31,7 @@
 use crate::entry_handler::EntryHandler;
 use crate::entry_handler::NodeStage;
 use crate::entry_task;
+use crate::entry_task::InstallHooks;
 use crate::evidence_task;
 use crate::follow_metrics::FollowMetrics;
 use crate::follow_task;
@@ -46,10 +49,16 @@
 use crate::server_check;
 use crate::server_check::ServerExpectation;
 
-/// Connections on each of the callers', the nodes' and the local listener.
-/// A backend server has about 100; callers and nodes get ten times that.
+/// Connections on the nodes' and the local listener. A backend server has
+/// about 100; nodes get ten times that.
 const CONNECTIONS_MAX: usize = 1_024;
 
+/// Connections on the callers' listener. Callers that are refused come back
+/// on new connections and leave the old ones open until they are idle: 40 a
+/// second kept for 75 s filled 1,024, and everybody else waited to be taken
+/// for six seconds. 4,096 descriptors bear this many and all others.
+const CALLERS_MAX: usize = 2_400;
+
 /// Longest wait for the requests in flight: the longest deadline.
 const STOP_PATIENCE: Duration = Duration::from_secs(600);
 
@@ -195,12 +204,16 @@
             configured: Rc::new(Cell::new(false)),
             stage: Rc::new(Cell::new(NodeStage::Open)),
         };
+        let (times, watched_times) = watch::channel(ListenerTimes::default());
         let entry = entry_task::spawn(
             instance,
             failure_domain,
             gate.clone(),
-            Rc::clone(&view.configured),
-            expectation,
+            InstallHooks {
+                configured: Rc::clone(&view.configured),
+                expectation,
+                times,
+            },
             seed,
         );
         let peers = PeerClient::new(settings.system_key.clone());
@@ -258,7 +271,12 @@
         let page = (fronts.admin)(view, Rc::new(page));
         let listen = HttpListener::spawn;
         let daemon = Self {
-            callers: listen(sockets.callers, CONNECTIONS_MAX, Rc::new(callers))?,
+            callers: HttpListener::spawn_timed(
+                sockets.callers,
+                CALLERS_MAX,
+                Rc::new(callers),
+                watched_times,
+            )?,
             local: listen(sockets.local, CONNECTIONS_MAX, local)?,
             peer: listen(
                 sockets.peer,
--- a/crates/wire/src/http_listener.rs
+++ b/crates/wire/src/http_listener.rs
@@ -44,6 +44,27 @@
 /// Pause after a failed accept: out of file descriptors, mostly.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
+/// Times that a listener keeps with its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenerTimes {
+    /// For a request's head to arrive whole.
+    pub head: Duration,
+    /// Idle connections are closed after this long.
+    pub idle: Duration,
+}
+
+impl Default for ListenerTimes {
+    fn default() -> Self {
+        Self {
+            head: HEAD_TIMEOUT,
+            idle: IDLE_TIMEOUT,
+        }
+    }
+}
+
+/// Watches the times, which may change while the listener runs.
+pub type TimesWatch = watch::Receiver<ListenerTimes>;
+
 /// Where a listener stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ListenerStage {
@@ -90,6 +111,18 @@
         socket: std::net::TcpListener,
         connections_max: usize,
         handler: Rc<dyn HttpHandler>,
+    ) -> io::Result<Self> {
+        let (_, times) = watch::channel(ListenerTimes::default());
+        Self::spawn_timed(socket, connections_max, handler, times)
+    }
+
+    /// The same, with times that may change; connections keep the times that
+    /// held when they were taken.
+    pub fn spawn_timed(
+        socket: std::net::TcpListener,
+        connections_max: usize,
+        handler: Rc<dyn HttpHandler>,
+        times: TimesWatch,
     ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         let socket = TcpListener::from_std(socket)?;
@@ -101,7 +134,14 @@
             handler,
             in_flight: Rc::clone(&in_flight),
         };
-        actix_rt::spawn(accept_loop(socket, Arc::clone(&open), counted, staged));
+        let loop_parts = AcceptLoop {
+            socket,
+            open: Arc::clone(&open),
+            counted: Rc::new(counted),
+            staged,
+            times,
+        };
+        actix_rt::spawn(loop_parts.run());
         Ok(Self {
             address,
             stage,
@@ -141,52 +181,82 @@
     let _ = staged.wait_for(|now| *now >= stage).await;
 }
 
-async fn accept_loop(
+/// Serves one connection at a time of those that it is called for.
+type ConnectionService = Rc<dyn ServeConnection>;
+
+/// A service whose library types are hidden.
+trait ServeConnection {
+    fn serve(&self, stream: TcpStream) -> Pin<Box<dyn Future<Output = ()> + '_>>;
+}
+
+struct HttpConnections<S>(S);
+
+impl<S: Service<TcpStream>> ServeConnection for HttpConnections<S> {
+    fn serve(&self, stream: TcpStream) -> Pin<Box<dyn Future<Output = ()> + '_>> {
+        Box::pin(serve(&self.0, stream))
+    }
+}
+
+struct AcceptLoop {
     socket: TcpListener,
     open: Arc<Semaphore>,
-    counted: CountedHandler,
+    counted: Rc<CountedHandler>,
     staged: watch::Receiver<ListenerStage>,
-) {
-    let counted = Rc::new(counted);
-    let closing = staged.clone();
-    let factory = HttpService::build()
-        .client_request_timeout(HEAD_TIMEOUT)
-        .keep_alive(IDLE_TIMEOUT)
-        // Guards against callers that leave: with their half of the
-        // connection closed their calls would run on, hold slots, and keep
-        // new ones waiting until the deadline of those who left.
-        .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || {
-            reached(closing.clone(), ListenerStage::Closing)
-        })
-        .h1(fn_service(move |request: Request| {
-            let counted = Rc::clone(&counted);
-            async move { Ok::<_, Infallible>(counted.handle(request).await) }
-        }))
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else {
-        return;
-    };
-    let service = Rc::new(service);
-    loop {
-        let accepting = accept(&socket, &open);
-        let accepted = tokio::select! {
-            accepted = accepting => accepted,
-            () = reached(staged.clone(), ListenerStage::Closing) => return,
-        };
-        let Ok((stream, permit)) = accepted else {
-            actix_rt::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+    times: TimesWatch,
+}
+
+impl AcceptLoop {
+    async fn run(mut self) {
+        let Some(mut service) = self.service().await else {
+            return;
         };
-        let service = Rc::clone(&service);
-        let staged = staged.clone();
-        actix_rt::spawn(async move {
-            tokio::select! {
-                () = serve(&*service, stream) => {}
-                () = reached(staged, ListenerStage::Cut) => {}
+        loop {
+            let accepting = accept(&self.socket, &self.open);
+            let accepted = tokio::select! {
+                accepted = accepting => accepted,
+                () = reached(self.staged.clone(), ListenerStage::Closing) => return,
+            };
+            let Ok((stream, permit)) = accepted else {
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            // An error means that the times are fixed.
+            if self.times.has_changed().unwrap_or(false) {
+                service = self.service().await.unwrap_or(service);
             }
-            drop(permit);
-        });
+            let service = Rc::clone(&service);
+            let staged = self.staged.clone();
+            actix_rt::spawn(async move {
+                tokio::select! {
+                    () = service.serve(stream) => {}
+                    () = reached(staged, ListenerStage::Cut) => {}
+                }
+                drop(permit);
+            });
+        }
+    }
+
+    async fn service(&mut self) -> Option<ConnectionService> {
+        let times = *self.times.borrow_and_update();
+        let closing = self.staged.clone();
+        let counted = Rc::clone(&self.counted);
+        let factory = HttpService::build()
+            .client_request_timeout(times.head)
+            .keep_alive(times.idle)
+            // Guards against callers that leave: with their half of the
+            // connection closed their calls would run on, hold slots, and
+            // keep new ones waiting until the deadline of those who left.
+            .h1_allow_half_closed(false)
+            .graceful_shutdown_signal(move || {
+                reached(closing.clone(), ListenerStage::Closing)
+            })
+            .h1(fn_service(move |request: Request| {
+                let counted = Rc::clone(&counted);
+                async move { Ok::<_, Infallible>(counted.handle(request).await) }
+            }))
+            .tcp();
+        let service = factory.new_service(()).await.ok()?;
+        Some(Rc::new(HttpConnections(service)))
     }
 }
 
