--- a/crates/control/src/agreed_task.rs
+++ b/crates/control/src/agreed_task.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +78,8 @@
     Current(Arc<str>, oneshot::Sender<LeaderAnswer<CurrentRevision>>),
     /// The members.
     Members(oneshot::Sender<LeaderAnswer<Vec<MemberLine>>>),
+    /// Instances to greet, besides the members.
+    Greet(Vec<(Arc<str>, SocketAddr)>),
     /// Messages from other instances.
     Peer(Vec<MemberMessage>),
     /// This instance is about to stop; answered once another one leads.
@@ -276,6 +279,7 @@
             AgreedMessage::Peer(messages) => {
                 events.extend(messages.into_iter().map(AgreedEvent::Message));
             }
+            AgreedMessage::Greet(others) => events.push(AgreedEvent::Greet(others)),
             AgreedMessage::HandOver(reply) => {
                 self.hand_overs.push(reply);
                 events.push(AgreedEvent::HandOver);
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -166,6 +166,14 @@
         })
     }
 
+    /// Takes what of `settings` can change while the instance runs: whom it
+    /// greets where it hears from no leader.
+    pub async fn reload(&self, settings: &ControlSettings) {
+        let greeted = AgreedMessage::Greet(settings.founders());
+        // The task ends only with the process.
+        let _ = self.agreed.send(greeted).await;
+    }
+
     /// Address for operators and other processes.
     pub fn address(&self) -> SocketAddr {
         self.main.address()
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -12,6 +12,7 @@
 use cowslip_wire::command_args;
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
+use cowslip_wire::settings_watch::SettingsWatch;
 use cowslip_wire::stop_signal;
 
 /// Runs a control instance of cowslipwall.
@@ -36,17 +37,29 @@
         println!("{}: usable", args.settings.display());
         return;
     }
-    let ended = actix_rt::System::new().block_on(run(&settings));
+    let ended = actix_rt::System::new().block_on(run(&settings, args.settings));
     if let Err(problem) = ended {
         eprintln!("cowslip-control: {problem}");
         exit(1);
     }
 }
 
-async fn run(settings: &ControlSettings) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(
+    settings: &ControlSettings,
+    path: PathBuf,
+) -> Result<(), Box<dyn std::error::Error>> {
     let sockets = ControlSockets::bind(settings.listen, settings.admin_listen)?;
     let daemon = ControlDaemon::spawn(settings, sockets)?;
-    stop_signal::wait().await?;
+    let mut watch = SettingsWatch::<ControlSettings>::spawn(path);
+    let now = watch.look_now();
+    let stop = stop_signal::wait_and(|| now.look());
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => break stopped?,
+            Some(changed) = watch.changes.recv() => daemon.reload(&changed).await,
+        }
+    }
     info!(
         "event=stopping process=control instance={}",
         settings.instance
--- a/crates/core/src/agreement/agreed_member.rs
+++ b/crates/core/src/agreement/agreed_member.rs
@@ -43,6 +43,8 @@
     Change(u64, ChangeEntry),
     /// An operator's change of members; the answer carries the ticket.
     Members(u64, MemberChange),
+    /// Instances to greet, besides the members.
+    Greet(Vec<(Arc<str>, SocketAddr)>),
     /// This instance is about to stop.
     HandOver,
 }
@@ -201,6 +203,7 @@
             AgreedEvent::Members(ticket, change) => {
                 self.change_members(now, ticket, &change);
             }
+            AgreedEvent::Greet(others) => self.agreement.greet_also(others),
             AgreedEvent::HandOver => self.agreement.hand_over(now),
         }
     }
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -181,8 +181,12 @@
     }
 
     /// Other instances to greet besides the members, by name and address.
+    /// Before the founding nothing changes, since all must agree on who founds.
     pub fn greet_also(&mut self, others: Vec<(Arc<str>, SocketAddr)>) {
-        self.founders = others;
+        let founding = self.may_found && self.log.last() == ConfigVersion::ZERO;
+        if !founding {
+            self.founders = others;
+        }
     }
 
     /// Who leads, as far as this member knows.
--- a/crates/core/src/source_ring.rs
+++ b/crates/core/src/source_ring.rs
@@ -59,6 +59,27 @@
         }
     }
 
+    /// Takes other addresses, not empty, in place of those held; what is
+    /// known of those that stay is kept.
+    pub fn replace(&mut self, now: Duration, addresses: &[SocketAddr]) {
+        let current = self.current();
+        let mut sources = Vec::with_capacity(addresses.len());
+        for address in addresses {
+            let held = self.sources.iter().find(|held| held.address == *address);
+            sources.push(held.cloned().unwrap_or(KnownSource {
+                address: *address,
+                failure_domain: None,
+                failed_at: None,
+            }));
+        }
+        self.sources = sources;
+        let place = addresses.iter().position(|address| *address == current);
+        self.current = place.unwrap_or(0);
+        if place.is_none() {
+            self.choose(now);
+        }
+    }
+
     /// The source in use.
     pub fn current(&self) -> SocketAddr {
         self.sources[self.current].address
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -67,8 +67,8 @@
     pub instance: Arc<str>,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
-    /// Control instances.
-    pub controls: Vec<SocketAddr>,
+    /// Control instances; they may change.
+    pub controls: watch::Receiver<Vec<SocketAddr>>,
     /// Spreads the nodes over them, and their waits.
     pub seed: u64,
     /// Wait that is asked of them where they have no news.
@@ -87,7 +87,7 @@
 pub fn spawn(plan: FollowPlan) -> watch::Receiver<SocketAddr> {
     let first = plan.seed as usize;
     let domain = Arc::clone(&plan.failure_domain);
-    let ring = SourceRing::new(domain, &plan.controls, first);
+    let ring = SourceRing::new(domain, &plan.controls.borrow(), first);
     let (current, watched) = watch::channel(ring.current());
     let pace = FollowPace::of(plan.wait);
     let follower = ControlFollower {
@@ -132,6 +132,7 @@
 impl ControlFollower {
     async fn run(mut self) {
         while !self.plan.entry.is_closed() {
+            self.take_controls();
             let end = self.turn().await;
             self.plan.metrics.update(self.versions.counts());
             let wait = match end {
@@ -165,6 +166,18 @@
         }
     }
 
+    /// Guards against a node whose control instances were all replaced while
+    /// it slept: it would ask addresses that nobody serves any more for ever.
+    fn take_controls(&mut self) {
+        // An error means that nobody can change them any more.
+        if !self.plan.controls.has_changed().unwrap_or(false) {
+            return;
+        }
+        let controls = self.plan.controls.borrow_and_update().clone();
+        self.ring.replace(self.started.elapsed(), &controls);
+        self.current.send_replace(self.ring.current());
+    }
+
     fn turn_away(&mut self) -> Duration {
         self.waited = false;
         self.ring.failed(self.started.elapsed());
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -12,6 +12,7 @@
 use cowslip_wire::command_args;
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
+use cowslip_wire::settings_watch::SettingsWatch;
 use cowslip_wire::stop_signal;
 
 /// Runs the node beside a backend server.
@@ -36,18 +37,27 @@
         println!("{}: usable", args.settings.display());
         return;
     }
-    let ended = actix_rt::System::new().block_on(run(&settings));
+    let ended = actix_rt::System::new().block_on(run(&settings, args.settings));
     if let Err(problem) = ended {
         eprintln!("cowslip-node: {problem}");
         exit(1);
     }
 }
 
-async fn run(settings: &NodeSettings) -> std::io::Result<()> {
+async fn run(settings: &NodeSettings, path: PathBuf) -> std::io::Result<()> {
     let sockets = NodeSockets::bind(settings)?;
     let seed = rand::random();
     let daemon = NodeDaemon::spawn(settings, sockets, seed)?;
-    stop_signal::wait().await?;
+    let mut watch = SettingsWatch::<NodeSettings>::spawn(path);
+    let now = watch.look_now();
+    let stop = stop_signal::wait_and(|| now.look());
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => break stopped?,
+            Some(changed) = watch.changes.recv() => daemon.reload(&changed),
+        }
+    }
     info!("event=stopping process=node instance={}", settings.instance);
     let whole = daemon.stop().await;
     info!(
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -93,6 +93,7 @@
     peer: HttpListener,
     admin: HttpListener,
     gate: mpsc::UnboundedSender<GateMessage>,
+    controls: watch::Sender<Vec<SocketAddr>>,
     stage: Rc<Cell<NodeStage>>,
     drain_notice: Duration,
     stop_within: Option<Duration>,
@@ -217,10 +218,11 @@
             seed,
         );
         let peers = PeerClient::new(settings.system_key.clone());
+        let (controls, watched_controls) = watch::channel(settings.controls.clone());
         let control = follow_task::spawn(FollowPlan {
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
-            controls: settings.controls.clone(),
+            controls: watched_controls,
             wait: settings.follow_wait,
             seed,
             client: peers.clone(),
@@ -285,6 +287,7 @@
             )?,
             admin: listen(sockets.admin, ADMIN_CONNECTIONS_MAX, page)?,
             gate,
+            controls,
             stage,
             drain_notice: settings.drain_notice,
             stop_within: settings.stop_within,
@@ -301,6 +304,16 @@
         Ok(daemon)
     }
 
+    /// Takes what of `settings` can change while the node runs: its control
+    /// instances.
+    pub fn reload(&self, settings: &NodeSettings) {
+        self.controls.send_if_modified(|held| {
+            let changed = *held != settings.controls;
+            held.clone_from(&settings.controls);
+            changed
+        });
+    }
+
     /// Where callers reach the node.
     pub fn callers(&self) -> SocketAddr {
         self.callers.address()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod settings_file;
 pub mod settings_node;
 pub mod settings_reader;
+pub mod settings_watch;
 pub mod stop_signal;
 pub mod wall_clock;
