Lines about single calls on standard output that never block; cowslip explain

A failed request is traced by its id: refusals, retries and late answers have a line each, 20 a second for each reason at most, with a line for what was left out. Writing goes through a bounded queue to a thread of its own; a reader that stands still costs lines, not time. cowslip explain joins the logs of all processes.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -12,6 +12,7 @@
 mod default;
 mod endpoints;
 mod exception;
+mod explain;
 mod member;
 mod moves;
 mod show;
@@ -28,6 +29,7 @@
     Move(moves::MoveArgs),
     Endpoints(endpoints::EndpointsArgs),
     Status(status::StatusArgs),
+    Explain(explain::ExplainArgs),
 }
 
 /// A whole command line.
@@ -57,7 +59,10 @@
     let moves = moves::move_args().map(OperatorCommand::Move);
     let endpoints = endpoints::endpoints_args().map(OperatorCommand::Endpoints);
     let status = status::status_args().map(OperatorCommand::Status);
-    construct!([apply, show, default, exception, member, moves, endpoints, status])
+    let explain = explain::explain_args().map(OperatorCommand::Explain);
+    construct!([
+        apply, show, default, exception, member, moves, endpoints, status, explain
+    ])
 }
 
 impl CommandLine {
@@ -73,6 +78,7 @@
             OperatorCommand::Move(args) => moves::run(config, args).await,
             OperatorCommand::Endpoints(args) => endpoints::run(config, args).await,
             OperatorCommand::Status(args) => status::run(config, args).await,
+            OperatorCommand::Explain(args) => explain::run(config, args).await,
         }
     }
 }
--- a/crates/cli/src/cmd/accepted.rs
+++ b/crates/cli/src/cmd/accepted.rs
@@ -40,7 +40,7 @@
     change: ConfigChange,
 ) -> OperatorResult<()> {
     let request_id = args.request_id.map_or_else(new_request_id, Arc::from);
-    let client = config.client();
+    let client = config.client()?;
     let version = client
         .change(Arc::clone(&request_id), args.expect, change)
         .await?;
--- a/crates/cli/src/cmd/default.rs
+++ b/crates/cli/src/cmd/default.rs
@@ -66,7 +66,7 @@
 }
 
 async fn list(config: &OperatorConfig) -> OperatorResult<()> {
-    let snapshot = config.client().ask(&ShowCall {}).await?;
+    let snapshot = config.client()?.ask(&ShowCall {}).await?;
     let mut lines = Vec::new();
     for key in TuningKey::ALL {
         let range = key.range();
--- a/crates/cli/src/cmd/endpoints.rs
+++ b/crates/cli/src/cmd/endpoints.rs
@@ -18,7 +18,7 @@
 pub struct EndpointsArgs {}
 
 pub async fn run(config: &OperatorConfig, _args: EndpointsArgs) -> OperatorResult<()> {
-    let records = config.client().ask(&EndpointsCall {}).await?;
+    let records = config.client()?.ask(&EndpointsCall {}).await?;
     config.print(&records, |records| table(records))
 }
 
--- a/crates/cli/src/cmd/exception.rs
+++ b/crates/cli/src/cmd/exception.rs
@@ -114,7 +114,7 @@
 }
 
 async fn list(config: &OperatorConfig) -> OperatorResult<()> {
-    let snapshot = config.client().ask(&ShowCall {}).await?;
+    let snapshot = config.client()?.ask(&ShowCall {}).await?;
     config.print(&snapshot.document.exceptions, |entries| table(entries))
 }
 
--- /dev/null
+++ b/crates/cli/src/cmd/explain.rs
@@ -0,0 +1,139 @@
+//! `cowslip explain`.
+
+use std::fs;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use serde::Serialize;
+
+use crate::operator_config::OperatorConfig;
+use crate::operator_error::OperatorError;
+use crate::operator_error::OperatorResult;
+
+const USAGE: &str = "Tells from the processes' logs what became of one request";
+const EXAMPLE: &str = "Example: cowslip explain 9c41d07be2a35f68 node-*.log";
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(command("explain"), descr(USAGE), footer(EXAMPLE))]
+pub struct ExplainArgs {
+    /// The request's id
+    #[bpaf(positional("REQUEST-ID"))]
+    request: String,
+    /// Log files of the processes
+    #[bpaf(positional("LOGFILE"), some("name at least one log file"))]
+    files: Vec<PathBuf>,
+}
+
+/// One line of a log about the request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ExplainedLine {
+    /// When it was written, milliseconds since 1970 by its process's clock.
+    pub at_ms: u64,
+    /// The file it stands in.
+    pub file: String,
+    /// What it says, in words.
+    pub words: String,
+    /// The line.
+    pub line: String,
+}
+
+/// Everything the logs tell of a request.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RequestStory {
+    /// Lines about it, in the order of time.
+    pub lines: Vec<ExplainedLine>,
+    /// Lines that are damaged: they name no time.
+    pub damaged: usize,
+}
+
+impl RequestStory {
+    /// Takes the lines of one file that name `request`.
+    pub fn take(&mut self, file: &str, text: &str, request: &str) {
+        for line in text.lines() {
+            if value(line, "request") != Some(request) {
+                continue;
+            }
+            let at_ms = value(line, "at_ms").and_then(|at| at.parse().ok());
+            let Some(at_ms) = at_ms else {
+                self.damaged += 1;
+                continue;
+            };
+            self.lines.push(ExplainedLine {
+                at_ms,
+                file: file.to_owned(),
+                words: words(line),
+                line: line.to_owned(),
+            });
+        }
+        self.lines.sort_by_key(|line| line.at_ms);
+    }
+}
+
+/// The value of `key` in a line of key=value pairs.
+fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    for pair in line.split_ascii_whitespace() {
+        if let Some((name, value)) = pair.split_once('=') {
+            if name == key {
+                return Some(value.trim_matches('"'));
+            }
+        }
+    }
+    None
+}
+
+fn words(line: &str) -> String {
+    let get = |key| value(line, key).unwrap_or("unknown");
+    let ran = match get("verdict") {
+        "not-run" => "it has not run",
+        "ran" => "it has run",
+        _ => "it may have run",
+    };
+    match get("event") {
+        "call-refused" if get("side") == "server" => {
+            format!("the server's node refused it: {}; {ran}", get("reason"))
+        }
+        "call-refused" => format!("its caller was refused: {}; {ran}", get("reason")),
+        "call-retried" => format!(
+            "a try at {} failed: {}; {ran}; another server was asked",
+            get("server"),
+            get("reason")
+        ),
+        "call-late" => format!(
+            "{} answered it late, after {} ms",
+            get("server"),
+            get("took_ms")
+        ),
+        other => other.to_owned(),
+    }
+}
+
+pub async fn run(config: &OperatorConfig, args: ExplainArgs) -> OperatorResult<()> {
+    let mut story = RequestStory::default();
+    for path in &args.files {
+        let file = path.display().to_string();
+        let bytes = fs::read(path)
+            .map_err(|error| OperatorError::Usage(format!("{file}: {error}")))?;
+        story.take(&file, &String::from_utf8_lossy(&bytes), &args.request);
+    }
+    if story.lines.is_empty() {
+        let problem = format!(
+            "no line names request {}; it was answered in time, or its lines were left out",
+            args.request
+        );
+        return Err(OperatorError::Missing(problem));
+    }
+    config.print(&story, text)
+}
+
+fn text(story: &RequestStory) -> String {
+    let mut text = String::new();
+    let first = story.lines.first().map_or(0, |line| line.at_ms);
+    for line in &story.lines {
+        let after = line.at_ms - first;
+        text += &format!("{after:>6} ms  {}  ({})\n", line.words, line.file);
+    }
+    if story.damaged > 0 {
+        text += &format!("{} damaged lines were passed over\n", story.damaged);
+    }
+    text
+}
--- a/crates/cli/src/cmd/member.rs
+++ b/crates/cli/src/cmd/member.rs
@@ -81,7 +81,7 @@
             send(config, instance, change, "stop it now if it still runs").await
         }
         MemberArgs::List => {
-            let lines = config.client().ask(&MembersCall {}).await?;
+            let lines = config.client()?.ask(&MembersCall {}).await?;
             config.print(&lines, |lines| table(lines))
         }
     }
@@ -93,7 +93,7 @@
     change: MemberChange,
     hint: &str,
 ) -> OperatorResult<()> {
-    let answer = config.client().ask(&MemberCall { change }).await?;
+    let answer = config.client()?.ask(&MemberCall { change }).await?;
     let version = match answer {
         MemberAnswer::Accepted(version) => version,
         MemberAnswer::Refused(refusal) => {
--- a/crates/cli/src/cmd/moves/move_entry.rs
+++ b/crates/cli/src/cmd/moves/move_entry.rs
@@ -32,7 +32,7 @@
 
 /// Every move that is kept, the newest last.
 pub async fn all(config: &OperatorConfig) -> OperatorResult<Vec<MoveEntry>> {
-    let client = config.client();
+    let client = config.client()?;
     let lines = client.ask(&MovesCall { version: None }).await?;
     let mut rollouts = client.ask(&RolloutsCall::default()).await?;
     let mut entries = Vec::with_capacity(lines.len());
@@ -52,7 +52,7 @@
     version: ConfigVersion,
     course: bool,
 ) -> OperatorResult<MoveEntry> {
-    let client = config.client();
+    let client = config.client()?;
     let call = MovesCall {
         version: Some(version),
     };
--- a/crates/cli/src/cmd/show.rs
+++ b/crates/cli/src/cmd/show.rs
@@ -16,7 +16,7 @@
 pub struct ShowArgs {}
 
 pub async fn run(config: &OperatorConfig, _args: ShowArgs) -> OperatorResult<()> {
-    let snapshot = config.client().ask(&ShowCall {}).await?;
+    let snapshot = config.client()?.ask(&ShowCall {}).await?;
     let yaml = serde_saphyr::to_string(&*snapshot.document);
     let yaml = yaml.map_err(|error| OperatorError::Usage(error.to_string()))?;
     config.print(&snapshot, |snapshot| {
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -17,7 +17,7 @@
 pub struct StatusArgs {}
 
 pub async fn run(config: &OperatorConfig, _args: StatusArgs) -> OperatorResult<()> {
-    let status = config.client().ask(&StatusCall {}).await?;
+    let status = config.client()?.ask(&StatusCall {}).await?;
     config.print(&status, text)
 }
 
--- a/crates/cli/src/operator_config.rs
+++ b/crates/cli/src/operator_config.rs
@@ -28,11 +28,13 @@
             .env("COWSLIP_CONTROL")
             .help("Control instances, separated by commas")
             .argument::<String>("ADDR,ADDR")
-            .parse(|text| parse_addresses(&text));
+            .parse(|text| parse_addresses(&text))
+            .fallback(Vec::new());
         let key = long("key")
             .env("COWSLIP_KEY")
             .help("Operators' key; better given in the environment")
-            .argument::<String>("KEY");
+            .argument::<String>("KEY")
+            .fallback(String::new());
         let json = long("json").help("Print one JSON document").switch();
         construct!(Self {
             controls,
@@ -41,9 +43,19 @@
         })
     }
 
-    /// A client for these control instances.
-    pub fn client(&self) -> ControlClient {
-        ControlClient::new(self.controls.clone(), AccessKey::new(self.key.clone()))
+    /// A client for these control instances, which must be named, with the
+    /// key.
+    pub fn client(&self) -> OperatorResult<ControlClient> {
+        if self.controls.is_empty() {
+            let problem = "expected --control=ADDR,ADDR or COWSLIP_CONTROL";
+            return Err(OperatorError::Usage(problem.to_owned()));
+        }
+        if self.key.is_empty() {
+            let problem = "expected --key=KEY or COWSLIP_KEY";
+            return Err(OperatorError::Usage(problem.to_owned()));
+        }
+        let key = AccessKey::new(self.key.clone());
+        Ok(ControlClient::new(self.controls.clone(), key))
     }
 
     /// Prints `value` as JSON, or the text made for people.
--- /dev/null
+++ b/crates/cli/tests/commands/cmd_explain.rs
@@ -0,0 +1,49 @@
+//! `cowslip explain`: from logs of several processes to one story.
+
+use std::fs;
+use std::process::Command;
+
+const ENTRY: &str = "\
+at_ms=1010 level=info event=call-refused process=node side=entry request=other reason=no-route verdict=not-run
+at_ms=1030 level=info event=call-retried process=node side=entry request=9c41 server=voss-2 reason=connection-broken verdict=may-have-run
+damaged request=9c41 event=call-
+at_ms=1050 level=info event=call-refused process=node side=entry request=9c41 reason=retry-budget verdict=may-have-run
+";
+
+const SERVER: &str = "\
+at_ms=1020 level=info event=call-refused process=node side=server request=9c41 reason=connection-broken verdict=may-have-run
+";
+
+// A caller complains with a request's id and two processes' logs are at hand.
+// The lines of both must come in the order of time, in words, with damaged
+// ones counted; an id that no line names is told apart by the exit status.
+#[test]
+fn a_request_is_explained_from_two_logs() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let entry = folder.path().join("entry.log");
+    let server = folder.path().join("server.log");
+    fs::write(&entry, ENTRY).expect("a log");
+    fs::write(&server, SERVER).expect("a log");
+    let explain = |id: &str| {
+        Command::new(env!("CARGO_BIN_EXE_cowslip"))
+            .args(["explain", id])
+            .args([&entry, &server])
+            .output()
+            .expect("it runs")
+    };
+    let told = explain("9c41");
+    assert_eq!(told.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&told.stdout);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[0].contains("the server's node refused it: connection-broken"));
+    assert!(lines[1].contains("a try at voss-2 failed"));
+    assert!(lines[2].contains("its caller was refused: retry-budget; it may have run"));
+    assert!(lines[3].contains("1 damaged"));
+    assert_eq!(explain("nobody").status.code(), Some(1));
+    let missing = Command::new(env!("CARGO_BIN_EXE_cowslip"))
+        .args(["explain", "9c41", "no-such.log"])
+        .output()
+        .expect("it runs");
+    assert_eq!(missing.status.code(), Some(2));
+}
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -3,6 +3,7 @@
 mod cmd_apply;
 mod cmd_default;
 mod cmd_exception;
+mod cmd_explain;
 mod cmd_member;
 mod cmd_move;
 mod cmd_status;
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -5,7 +5,6 @@
 //! swapped in one step, never edited, so a route never outlives its service.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,7 +32,6 @@
 use crate::load::server_pool::SlotSearch;
 use crate::load::service_pressure::ServicePressure;
 use crate::refusal::RefusalReason;
-use crate::refusal::RetryReason;
 use crate::rollout::last_server::is_last_of_old;
 use crate::rollout::node_guard::NodeGuard;
 use crate::route_table::RouteTable;
@@ -42,6 +40,11 @@
 use crate::verdict::CallVerdict;
 use crate::version::ConfigVersion;
 
+pub use crate::call_try::NextStep;
+pub use crate::call_try::ServerTry;
+pub use crate::call_try::TryFailure;
+pub use crate::call_try::TryReport;
+
 /// Thousandths, the unit of traffic shares.
 const WHOLE_PER_MILLE: u16 = 1_000;
 
@@ -167,73 +170,6 @@
     }
 }
 
-/// One try of a call at one backend server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerTry {
-    /// Instance of the backend server.
-    pub instance: Arc<str>,
-    /// Where its node listens.
-    pub address: SocketAddr,
-    /// Backend server version it runs.
-    pub version: Arc<str>,
-    /// False where the call is to be offered elsewhere unless a slot is free
-    /// at once.
-    pub may_wait: bool,
-}
-
-/// How a try ended without a whole answer from a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TryFailure {
-    /// Whether the request may have run in this try.
-    pub verdict: CallVerdict,
-    /// Why it failed.
-    pub reason: RefusalReason,
-}
-
-impl TryFailure {
-    /// True where the other side said or did something before the time ran
-    /// out, be it that it broke off.
-    pub fn was_heard(&self) -> bool {
-        self.reason != RefusalReason::DeadlinePassed
-    }
-
-    /// True where the request came to a backend server, be it that the
-    /// server refused it.
-    pub fn reached_server(self) -> bool {
-        self.verdict != CallVerdict::NotRun || self.reason == RefusalReason::ServerRefused
-    }
-}
-
-/// What to do after a failed try.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NextStep {
-    /// Try again at another server.
-    Retry(RetryReason),
-    /// Tell the caller.
-    Refuse(RefusalReason),
-}
-
-/// A try whose answer began, and is now passed on or given up.
-#[derive(Clone, Debug)]
-pub struct TryReport {
-    /// Instance that answered.
-    pub instance: Arc<str>,
-    /// Service of the call.
-    pub service: Arc<str>,
-    /// Path of its route.
-    pub route: Arc<str>,
-    /// Customer it was made for.
-    pub customer: Arc<str>,
-    /// Urgency of its route.
-    pub priority: CallPriority,
-    /// Status of the backend server's answer.
-    pub status: u16,
-    /// Time from the try's start to the answer's head.
-    pub taken: Duration,
-    /// Bytes of the answer's body, where its head states them.
-    pub bytes: Option<u64>,
-}
-
 /// Status by which a backend server says that it has no room.
 const STATUS_SHED: u16 = 503;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod ack_memory;
 pub mod agreement;
+pub mod call_try;
 pub mod change;
 pub mod claim;
 pub mod config_delta;
--- a/crates/core/src/load/server_pool.rs
+++ b/crates/core/src/load/server_pool.rs
@@ -21,8 +21,8 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 
+use crate::call_try::ServerTry;
 use crate::directory::EndpointRecord;
-use crate::entry_router::ServerTry;
 use crate::load::outlier_watch::FailureShare;
 use crate::load::outlier_watch::OutlierWatch;
 use crate::load::server_load::ServerLoad;
--- a/crates/core/src/load/service_pressure.rs
+++ b/crates/core/src/load/service_pressure.rs
@@ -7,8 +7,8 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 
+use crate::call_try::TryReport;
 use crate::document::CallPriority;
-use crate::entry_router::TryReport;
 use crate::load::caller_ages::CallerAges;
 use crate::load::customer_throttle::CustomerThrottle;
 use crate::load::retry_budget::RetryBudget;
--- a/crates/core/src/rollout/evidence.rs
+++ b/crates/core/src/rollout/evidence.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::entry_router::TryFailure;
+use crate::call_try::TryFailure;
 use crate::rollout::latency_sketch::LatencySketch;
 use crate::rollout::latency_sketch::SketchBands;
 use crate::rollout::rollout_judge::BadnessCause;
--- a/crates/core/src/rollout/share_plan.rs
+++ b/crates/core/src/rollout/share_plan.rs
@@ -75,7 +75,7 @@
 
 /// Share until then, in thousandths: enough for a verdict on what shows at
 /// once or soon, and a tenth of what is allowed in all.
-const PROVING_SHARE: f64 = 40.0;
+const PROVING_SHARE: f64 = 32.0;
 
 /// Length of each doubling after it, as a part of the time: a second of a
 /// move of 14 s, in which a verdict comes.
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -41,6 +41,8 @@
 use crate::call_forward::CallParts;
 use crate::call_forward::HopHeaders;
 use crate::call_headers;
+use crate::call_log::CallLog;
+use crate::call_log::LoggedId;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::claim_desk::ClaimDenial;
@@ -74,6 +76,8 @@
     pub claims: Rc<ClaimDesk>,
     /// Counters of the entry side.
     pub metrics: CallMetrics,
+    /// Lines about single calls.
+    pub log: CallLog,
 }
 
 /// Where a node stands in its planned stop.
@@ -162,13 +166,15 @@
         origin: CallOrigin,
         stopping: bool,
     ) -> HttpReply {
-        match self.call(request, origin, stopping).await {
+        let id = LoggedId::of(&request, &self.dialect.request_id);
+        match self.call(request, &id, origin, stopping).await {
             Ok(reply) => {
                 self.metrics.answered();
                 reply
             }
             Err(refusal) => {
                 self.metrics.refused(refusal.reason);
+                self.log.refused(&id, refusal.reason, refusal.verdict);
                 refusal_reply(refusal, &self.dialect)
             }
         }
@@ -177,6 +183,7 @@
     async fn call(
         self: &Rc<Self>,
         mut request: Request,
+        id: &LoggedId,
         origin: CallOrigin,
         stopping: bool,
     ) -> Result<HttpReply, CallRefusal> {
@@ -207,13 +214,15 @@
             Err(refusal) => return self.refuse(call, refusal).await,
         };
         let Some(call) = call else {
-            return self.run(planned, &parts, &mut body).await;
+            return self.run(id, planned, &parts, &mut body).await;
         };
         let desk = Rc::clone(self);
         // Goes on where the caller leaves, so that its resend finds the
         // answer and not a run of which nobody knows the end.
+        let id = id.clone();
         let running = actix_rt::spawn(async move {
-            desk.run_claimed(call, planned, &parts, &mut body).await
+            desk.run_claimed(&id, call, planned, &parts, &mut body)
+                .await
         });
         running.await.unwrap_or(Err(CallRefusal {
             reason: RefusalReason::ClaimUnanswered,
@@ -247,6 +256,7 @@
     /// Runs a call under its key, at most once.
     async fn run_claimed(
         &self,
+        id: &LoggedId,
         call: KeyedCall,
         planned: PlannedTry,
         parts: &CallParts,
@@ -262,7 +272,7 @@
                 };
             }
         };
-        let running = self.run(planned, parts, body);
+        let running = self.run(id, planned, parts, body);
         match actix_rt::time::timeout(RUN_TIME_MAX, running).await {
             Ok(Ok(reply)) => keyed_call::keep(&self.claims, claim, reply).await,
             Ok(Err(refusal)) => {
@@ -280,6 +290,7 @@
     /// Tries until a backend server has answered or the call is given up.
     async fn run(
         &self,
+        id: &LoggedId,
         mut planned: PlannedTry,
         parts: &CallParts,
         body: &mut CallBody,
@@ -301,6 +312,12 @@
                     }
                 }
                 Ok(answer) => {
+                    let target = planned.target_left;
+                    if target.is_some_and(|target| started.elapsed() > target) {
+                        let server = &planned.server.instance;
+                        self.log
+                            .late(id, server, started.elapsed() + planned.waited);
+                    }
                     guard.answered(&planned.plan, &answer, started.elapsed());
                     let give_up_at = started + planned.left;
                     return Ok(pass_answer(answer, parts, give_up_at, guard));
@@ -311,9 +328,12 @@
             if !body.is_held() {
                 planned.plan.forbid_retry();
             }
+            if failure.reason != RefusalReason::NoFreeSlot {
+                self.log.retried(id, &planned.server.instance, failure);
+            }
             let (reply, answer) = oneshot::channel();
             let so_far = planned.plan.verdict.max(failure.verdict);
-            let failed = EntryMessage::Failed(planned, failure, reply);
+            let failed = EntryMessage::Failed(Box::new(planned), failure, reply);
             planned = match (self.ask(failed, answer, so_far).await, failed_answer.take())
             {
                 (Ok(next), held) => {
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -102,7 +102,7 @@
     /// A new call.
     Admit(OwnedHead, oneshot::Sender<TryAnswer>),
     /// A try failed; what now?
-    Failed(PlannedTry, TryFailure, oneshot::Sender<TryAnswer>),
+    Failed(Box<PlannedTry>, TryFailure, oneshot::Sender<TryAnswer>),
     /// A try's answer has been passed on whole, or was given up; the wait
     /// that the server's node told with it.
     Ended(TryReport, Option<Duration>),
@@ -214,7 +214,7 @@
                 self.hand_over(reply, answer);
             }
             EntryMessage::Failed(failed, failure, reply) => {
-                let answer = self.failed(failed, failure);
+                let answer = self.failed(*failed, failure);
                 self.hand_over(reply, answer);
             }
             EntryMessage::Ended(report, told_wait) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod call_dialect;
 pub mod call_forward;
 pub mod call_headers;
+pub mod call_log;
 pub mod call_metrics;
 pub mod call_pools;
 pub mod claim_desk;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -38,6 +38,7 @@
         return;
     }
     let ended = actix_rt::System::new().block_on(run(&settings, args.settings));
+    process_log::finish();
     if let Err(problem) = ended {
         eprintln!("cowslip-node: {problem}");
         exit(1);
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -24,6 +24,7 @@
 use cowslip_wire::peer_client::PeerClient;
 
 use crate::call_dialect::CallDialect;
+use crate::call_log::CallLog;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::claim_desk::ClaimDesk;
@@ -253,6 +254,7 @@
             entry,
             claims,
             metrics: entry_metrics,
+            log: CallLog::new("entry"),
         });
         let peer_desk = PeerDesk {
             pools,
@@ -263,6 +265,7 @@
             holder: holder_task::spawn(),
             tickets: Cell::new(0),
             metrics: server_metrics,
+            log: CallLog::new("server"),
         };
         let stage = Rc::clone(&view.stage);
         let callers =
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -37,6 +37,8 @@
 use crate::call_forward::CallParts;
 use crate::call_forward::HopHeaders;
 use crate::call_headers;
+use crate::call_log::CallLog;
+use crate::call_log::LoggedId;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::entry_handler::refusal_reply;
@@ -69,6 +71,8 @@
     pub tickets: Cell<CallTicket>,
     /// Counters of the server side.
     pub metrics: CallMetrics,
+    /// Lines about single calls.
+    pub log: CallLog,
 }
 
 /// Serves the listener for other nodes.
@@ -104,6 +108,7 @@
         if is_claim(&request) {
             return self.claim(request).await.unwrap_or_else(|refused| refused);
         }
+        let id = LoggedId::of(&request, &self.dialect.request_id);
         let mut reply = match self.call(request).await {
             Ok(reply) => {
                 self.metrics.answered();
@@ -111,6 +116,9 @@
             }
             Err(failure) => {
                 self.metrics.refused(failure.reason);
+                if failure.reason != RefusalReason::NoFreeSlot {
+                    self.log.refused(&id, failure.reason, failure.verdict);
+                }
                 let refusal = CallRefusal {
                     reason: failure.reason,
                     verdict: failure.verdict,
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -16,6 +16,7 @@
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::QueueBounds;
 use cowslip_node::call_headers;
+use cowslip_node::call_log::CallLog;
 use cowslip_node::call_metrics::CallMetrics;
 use cowslip_node::call_pools::CallPools;
 use cowslip_node::gate_task;
@@ -90,6 +91,7 @@
         gate,
         holder: holder_task::spawn(),
         tickets: Cell::new(0),
+        log: CallLog::new("server"),
         metrics: CallMetrics::new(&mut Registry::default(), "server"),
     };
     HttpListener::bind(loopback(), 100, Rc::new(PeerHandler::new(desk))).unwrap()
