--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -32,6 +32,7 @@
 use crate::rollout::share_plan::HOLD_PART;
 use crate::rollout::share_plan::LAST_CHECK_PART;
 use crate::rollout::share_plan::LAST_SHARE;
+use crate::rollout::share_plan::PROVED_STEP;
 use crate::rollout::share_plan::WHOLE;
 
 /// Pause between two looks of the leader. Three looks decide against gross
@@ -233,6 +234,12 @@
         }
         let target = self.plan.share_at(time.part());
         let next = next_share(share, target).ok_or(None)?;
+        // Guards against a late move that catches up in one go: its share
+        // went from 320 to 800 within 0.3 s, and a version that failed under
+        // load had got a tenth more than it may before the verdict.
+        if record.proving && time.held < time.whole.mul_f64(PROVED_STEP) {
+            return Err(None);
+        }
         let last = next == LAST_SHARE;
         let level = if last {
             LAST_SUSPICION_LEVEL
--- a/crates/core/src/rollout/share_plan.rs
+++ b/crates/core/src/rollout/share_plan.rs
@@ -77,9 +77,9 @@
 /// once or soon, and a tenth of what is allowed in all.
 const PROVING_SHARE: f64 = 32.0;
 
-/// Length of each doubling after it, as a part of the time: a second of a
-/// move of 14 s, in which a verdict comes.
-const PROVED_STEP: f64 = 0.07;
+/// Length of each doubling after it, as a part of the time, also of a move
+/// that is late: a second of a move of 14 s, in which a verdict comes.
+pub const PROVED_STEP: f64 = 0.07;
 
 /// Part of the time at which the last check of such a move begins.
 const PROVED_LAST_PART: f64 = 0.79;
--- a/crates/core/tests/rollout_driver.rs
+++ b/crates/core/tests/rollout_driver.rs
@@ -241,3 +241,24 @@
     }
     assert_eq!(before, 950);
 }
+
+// A move that was held up early catches up late. Taken in one go, the last
+// doublings would give a version that fails under load far more than a
+// verdict takes; each is held for its time all the same.
+#[test]
+fn a_late_move_on_trial_still_holds_each_step() {
+    let held_up = Duration::from_secs(40);
+    let sight = |now| FleetSight {
+        nodes_silent: if now < held_up { 2 } else { 0 },
+        ..sound_fleet()
+    };
+    let mut record = record(QuietChoice::Finish);
+    record.proving = true;
+    let driven = drive(record, sight, 200);
+    let steps = &driven.record.steps;
+    assert!(steps.len() > 5, "{steps:?}");
+    for pair in steps.windows(2) {
+        let held = pair[1].at_ms - pair[0].at_ms;
+        assert!(held >= WHOLE_MS * 7 / 100, "{steps:?}");
+    }
+}
