A suspected version on trial is taken back before its allowance is spent; nodes that have gone are not waited for long

Cause (good versions not done): the last step waited 10 s for nodes that had been removed, and for any one silent node. Ruled out: late reports (every 150 ms), a change of leader. The bound is a setting in hundredths and calls; how long a node counts as live follows from how often nodes ask.

--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -147,6 +147,7 @@
         let instance = Arc::clone(&members[at].instance);
         let settings = ControlSettings {
             joining: None,
+            node_live: None,
             data_folder: folder.join(&*instance),
             instance,
             failure_domain: plan.failure_domain(at),
--- a/crates/control/benches/agreement.rs
+++ b/crates/control/benches/agreement.rs
@@ -95,6 +95,7 @@
     for (bound, member) in sockets.into_iter().zip(&addresses) {
         let settings = ControlSettings {
             joining: None,
+            node_live: None,
             instance: Arc::clone(&member.instance),
             failure_domain: "bench".into(),
             listen: loopback(),
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::node_presence::NodePresence;
 use cowslip_wire::admin_page::AdminPage;
 use cowslip_wire::admin_page::ADMIN_CONNECTIONS_MAX;
 use cowslip_wire::http_listener::HttpHandler;
@@ -116,6 +117,10 @@
         let leader = agreed.leader.clone();
         // The queue holds far more than the messages sent until here.
         let _ = fanout.try_send(FanoutMessage::Watch(leader.clone()));
+        if let Some(live_for) = settings.node_live {
+            let presence = NodePresence { live_for };
+            let _ = fanout.try_send(FanoutMessage::Keep(presence));
+        }
         actix_rt::spawn(uplink_task::carry(
             leader.clone(),
             client.clone(),
--- a/crates/control/src/control_settings.rs
+++ b/crates/control/src/control_settings.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::settings_reader::FromSettings;
 use cowslip_wire::settings_reader::SettingsReader;
+use cowslip_wire::settings_reader::SettingsTime;
 
 /// What would be right for an address.
 const ADDRESS: &str = "an address and port such as 127.0.0.1:7101";
@@ -33,6 +35,9 @@
     pub members: Vec<MemberAddress>,
     /// Set where the fleet sees to its voters by itself.
     pub joining: Option<JoinSettings>,
+    /// How long a node counts as live after it was last heard of, where
+    /// nodes ask more often than every four seconds; six times their wait.
+    pub node_live: Option<Duration>,
     /// Key of the operators' interface.
     pub operator_key: AccessKey,
     /// Key between the system's own processes.
@@ -72,6 +77,7 @@
         let data_folder = reader.required("data_folder", "a folder for the change log");
         let mut members: Vec<MemberAddress> =
             reader.groups("members", "an instance and its address");
+        let node_live = reader.optional("node_live", "a time such as 10s");
         let joining = joining(reader, &mut members);
         let operator_key = reader.required("operator_key", KEY);
         let system_key = reader.required("system_key", KEY);
@@ -92,6 +98,7 @@
             data_folder: data_folder?,
             members,
             joining,
+            node_live: node_live.map(|SettingsTime(live)| live),
             operator_key: operator_key?,
             system_key: system_key?,
         })
--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -21,6 +21,7 @@
 use cowslip_core::news_source::LeaderNews;
 use cowslip_core::news_source::NewsSource;
 use cowslip_core::news_source::SourceIdentity;
+use cowslip_core::node_presence::NodePresence;
 use cowslip_core::report_gather::ReportBatch;
 use cowslip_core::source_proof::SourceProof;
 use cowslip_core::version::ConfigVersion;
@@ -75,6 +76,8 @@
     Install(Box<InstalledNews>),
     /// Who leads; sent once, before anything else.
     Watch(LeaderWatch),
+    /// How long nodes count as live; sent once, where settings say so.
+    Keep(NodePresence),
 }
 
 /// How far a version has come among the nodes.
@@ -210,6 +213,7 @@
             }
             FanoutMessage::PutBack(batch) => self.source.put_back(batch),
             FanoutMessage::Install(news) => self.install(now, *news),
+            FanoutMessage::Keep(presence) => self.source.keep(presence),
             FanoutMessage::Watch(leader) => self.leader = Some(leader),
         }
     }
--- a/crates/control/tests/store_failures.rs
+++ b/crates/control/tests/store_failures.rs
@@ -136,6 +136,7 @@
         };
         let settings = ControlSettings {
             joining: None,
+            node_live: None,
             instance: "control-1".into(),
             failure_domain: "one".into(),
             listen: member.address,
--- a/crates/core/src/endpoint_lease.rs
+++ b/crates/core/src/endpoint_lease.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// Time without a renewal after which a lease has ended. Renewals come every
-/// [`REFRESH_TIME`](crate::report_gather::REFRESH_TIME), so three in a row
+/// [`NodePresence::refresh`](crate::node_presence::NodePresence::refresh), so three in a row
 /// are missing; with the five seconds that a relay still names a silent
 /// node, a death is on every node within 16 seconds.
 pub const LEASE_TIME: Duration = Duration::from_secs(10);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod load;
 pub mod move_board;
 pub mod news_source;
+pub mod node_presence;
 pub mod outbound_calls;
 pub mod reconnect_admission;
 pub mod reconnect_backoff;
--- a/crates/core/src/move_board.rs
+++ b/crates/core/src/move_board.rs
@@ -8,12 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::node_presence::NodePresence;
 use crate::version::ConfigVersion;
 
-/// A node not heard of for this long is no longer waited for. It covers two
-/// waits of four seconds, or one and a change of source.
-pub const NODE_LIVE_FOR: Duration = Duration::from_secs(10);
-
 /// Names held at once: three times the fleet of 5,200, so that a faulty
 /// sender of ever new names cannot take the memory; about 4 MB.
 const NODES_MAX: usize = 16_384;
@@ -85,6 +82,7 @@
     pending: BTreeMap<ConfigVersion, Duration>,
     done: BTreeMap<ConfigVersion, DoneMove>,
     overflow: u64,
+    presence: NodePresence,
 }
 
 /// How a finished move stood when it was done.
@@ -153,10 +151,15 @@
         self.nodes.insert(node, HeardReport { report, heard_at });
     }
 
+    /// Sets how long nodes count as live.
+    pub fn keep(&mut self, presence: NodePresence) {
+        self.presence = presence;
+    }
+
     /// Drops the nodes that were last heard too long before `now`.
     pub fn expire(&mut self, now: Duration) {
         while let Some((heard_at, node)) = self.by_age.first() {
-            if now.saturating_sub(*heard_at) <= NODE_LIVE_FOR {
+            if now.saturating_sub(*heard_at) <= self.presence.live_for {
                 return;
             }
             let node = Arc::clone(node);
--- a/crates/core/src/news_source.rs
+++ b/crates/core/src/news_source.rs
@@ -26,6 +26,7 @@
 use crate::follower_queue::FollowerPlace;
 use crate::follower_queue::FollowerQueue;
 use crate::move_board::MoveBoard;
+use crate::node_presence::NodePresence;
 use crate::reconnect_admission::ReconnectAdmission;
 use crate::reconnect_admission::ReconnectCost;
 use crate::report_gather::ReportBatch;
@@ -134,6 +135,12 @@
         }
     }
 
+    /// Sets how long nodes count as live.
+    pub fn keep(&mut self, presence: NodePresence) {
+        self.board.keep(presence);
+        self.gather.keep(presence);
+    }
+
     /// The configuration in force.
     pub fn current(&self) -> &ConfigSnapshot {
         self.history.current()
--- a/crates/core/src/report_gather.rs
+++ b/crates/core/src/report_gather.rs
@@ -6,7 +6,7 @@
 //! thousands of messages a second, and an unreachable leader would let them
 //! pile up. Here a node is held once, however often it reports; what goes
 //! up is grouped by version, once per [`GATHER_TIME`] and only what changed,
-//! and every [`REFRESH_TIME`] the names of all live followers, which also
+//! and every [`NodePresence::refresh`] the names of all live followers, which also
 //! mends whatever was lost or crossed on the way.
 
 use std::collections::BTreeMap;
@@ -20,21 +20,13 @@
 use crate::directory::EndpointDirectory;
 use crate::directory::EndpointRecord;
 use crate::move_board::NodeReport;
+use crate::node_presence::NodePresence;
 use crate::version::ConfigVersion;
 
 /// Least time between two batches; 20 batches a second from each of 17
 /// instances are 340 small messages at the leader while a version spreads.
 pub const GATHER_TIME: Duration = Duration::from_millis(50);
 
-/// How often all live followers are named again: three times within the
-/// lease of an endpoint. At 5,200 nodes with names of 11 letters it brings
-/// the leader 23 KB a second.
-pub const REFRESH_TIME: Duration = Duration::from_secs(3);
-
-/// A follower not heard for this long is not named: its wait of four
-/// seconds and one for the answer and the next question.
-const HEARD_WITHIN: Duration = Duration::from_secs(5);
-
 /// Followers held; as many as connections are served at once.
 const FOLLOWERS_MAX: usize = 4_096;
 
@@ -94,9 +86,15 @@
     changed: BTreeSet<Arc<str>>,
     records: BTreeMap<Arc<str>, EndpointRecord>,
     refresh_at: Duration,
+    presence: NodePresence,
 }
 
 impl ReportGather {
+    /// Sets how long followers are named.
+    pub fn keep(&mut self, presence: NodePresence) {
+        self.presence = presence;
+    }
+
     /// A follower reported itself at `now`.
     pub fn hear(&mut self, now: Duration, report: &NodeReport) {
         let held = self.followers.get(&report.node);
@@ -126,9 +124,10 @@
     pub fn take(&mut self, now: Duration) -> ReportBatch {
         let refresh = now >= self.refresh_at;
         if refresh {
-            self.refresh_at = now + REFRESH_TIME;
+            self.refresh_at = now + self.presence.refresh();
+            let named_for = self.presence.named_for();
             self.followers
-                .retain(|_, held| now.saturating_sub(held.heard_at) <= HEARD_WITHIN);
+                .retain(|_, held| now.saturating_sub(held.heard_at) <= named_for);
         }
         let mut groups: BTreeMap<GroupKey, Vec<Arc<str>>> = BTreeMap::new();
         let changed = std::mem::take(&mut self.changed);
--- a/crates/core/src/rollout/rollout_book.rs
+++ b/crates/core/src/rollout/rollout_book.rs
@@ -18,6 +18,7 @@
 use crate::document::ServiceSpec;
 use crate::rollout::rollout_change::MoveChange;
 use crate::rollout::rollout_change::MoveCounts;
+use crate::rollout::rollout_record::ExposureBound;
 use crate::rollout::rollout_record::RolloutEnd;
 use crate::rollout::rollout_record::RolloutRecord;
 use crate::rollout::rollout_record::ShareStep;
@@ -146,7 +147,7 @@
             reason: reason.clone(),
             if_quiet: *if_quiet,
             step_calls: document.tuning(TuningKey::MoveStepCalls, &place),
-            proving: document.tuning(TuningKey::MoveProving, &place) > 0,
+            exposure: exposure_bound(document, &place),
             started_ms: at_ms,
             due_ms,
             steps: vec![ShareStep {
@@ -316,6 +317,15 @@
     }
 }
 
+fn exposure_bound(
+    document: &FleetDocument,
+    place: &CallPlace<'_>,
+) -> Option<ExposureBound> {
+    let percent = document.tuning(TuningKey::MoveExposure, place);
+    let calls = document.tuning(TuningKey::MoveExposureCalls, place);
+    (percent > 0).then_some(ExposureBound { percent, calls })
+}
+
 fn withdrawn(held: &ServiceSpec, version: &Arc<str>) -> Vec<Arc<str>> {
     let mut withdrawn = held.withdrawn.clone();
     if !withdrawn.contains(version) {
--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -21,6 +21,8 @@
 use crate::rollout::rollout_change::MoveCounts;
 use crate::rollout::rollout_change::StepWait;
 use crate::rollout::rollout_change::TakeBackCause;
+use crate::rollout::rollout_judge::BadnessCause;
+use crate::rollout::rollout_judge::JudgeView;
 use crate::rollout::rollout_judge::RolloutJudge;
 use crate::rollout::rollout_judge::FALSE_ALARM_FLEET;
 use crate::rollout::rollout_record::RolloutRecord;
@@ -60,6 +62,14 @@
 /// a bound, chance alone could keep a good version from its set time.
 const SUSPICION_PART: f64 = 0.15;
 
+/// Part of what a bad version may get from which suspicion is enough: calls
+/// on their way and those until the withdrawal reaches every node need the
+/// rest.
+const OVERSPENT_PART: f64 = 0.6;
+
+/// Suspicion that is enough then: odds of some thirty to one.
+const OVERSPENT_SUSPICION: f64 = 0.4;
+
 /// Silent nodes that growth tolerates, as one in so many live ones. At the
 /// two-year size some of 5,200 nodes are always between two reports.
 const SILENT_ONE_IN: u32 = 10;
@@ -117,7 +127,7 @@
     /// A driver for a move with this record.
     pub fn new(record: &RolloutRecord) -> Self {
         let first = record.steps.first().map_or(1, |step| step.share_per_mille);
-        let plan: Box<dyn SharePlan> = if record.proving {
+        let plan: Box<dyn SharePlan> = if record.exposure.is_some() {
             Box::new(ProvingPlan { first })
         } else {
             Box::new(DoublingPlan { first })
@@ -170,12 +180,14 @@
         let counts = counts_of(tally);
         let telling = tally.telling_calls();
         self.mark(now, record, counts, telling);
-        let cause = match (ledger.stop(record.rollout), view.cause) {
+        let cause = match (ledger.stop(record.rollout), view.cause.clone()) {
             (Some(stop), _) => Some(TakeBackCause::NodeEvidence {
                 node: stop.node.clone(),
                 cause: stop.cause.clone(),
             }),
-            (None, cause) => cause.map(TakeBackCause::FleetEvidence),
+            (None, cause) => cause
+                .or_else(|| self.overspent(now, record, counts, &view))
+                .map(TakeBackCause::FleetEvidence),
         };
         if let Some(cause) = cause {
             return Some(MoveChange::TakeBack {
@@ -192,6 +204,31 @@
         next.ok()
     }
 
+    /// The evidence so far, where a version that is suspected has got most of
+    /// what a bad one may get.
+    ///
+    /// Guards against a version that fails a little more under each load: the
+    /// growth waits for a verdict that does not come, and what it gets
+    /// meanwhile passes the bound. A sound version is suspected so strongly
+    /// in fewer than one of fifty moves.
+    fn overspent(
+        &self,
+        now: Duration,
+        record: &RolloutRecord,
+        counts: MoveCounts,
+        view: &JudgeView,
+    ) -> Option<BadnessCause> {
+        let bound = record.exposure?;
+        let part = MoveTime::of(now, record).part();
+        let spent = bound.spent(counts.new_calls, counts.calls, part);
+        let on_trial = record.share() < HELD_SHARE;
+        let suspected = view.suspicion >= OVERSPENT_SUSPICION;
+        if on_trial && spent >= OVERSPENT_PART && suspected {
+            return view.strongest.clone();
+        }
+        None
+    }
+
     fn mark(
         &mut self,
         now: Duration,
@@ -237,7 +274,7 @@
         // Guards against a late move that catches up in one go: its share
         // went from 320 to 800 within 0.3 s, and a version that failed under
         // load had got a tenth more than it may before the verdict.
-        if record.proving && time.held < time.whole.mul_f64(PROVED_STEP) {
+        if record.exposure.is_some() && time.held < time.whole.mul_f64(PROVED_STEP) {
             return Err(None);
         }
         let last = next == LAST_SHARE;
@@ -305,7 +342,11 @@
     ) -> Result<(), Option<StepWait>> {
         // Guards against counts that look clean because those who would
         // count the failures are not heard.
-        if sight.nodes == 0 || sight.nodes_silent * SILENT_ONE_IN > sight.nodes {
+        // One node is always allowed to be silent: while a small fleet is
+        // restarted node by node, one always is, and a good version would
+        // never be done.
+        let silent = sight.nodes_silent.saturating_sub(1);
+        if sight.nodes == 0 || silent * SILENT_ONE_IN > sight.nodes {
             return Err(Some(StepWait::LostReporters));
         }
         let waited = self.waited.get(&StepWait::Suspicion);
--- a/crates/core/src/rollout/rollout_judge.rs
+++ b/crates/core/src/rollout/rollout_judge.rs
@@ -104,6 +104,8 @@
     pub cause: Option<BadnessCause>,
     /// Strongest evidence against it, from 0 for none to 1 for bad.
     pub suspicion: f64,
+    /// What that evidence is, whether it suffices or not.
+    pub strongest: Option<BadnessCause>,
 }
 
 /// Makes the tests of a judge.
@@ -174,9 +176,11 @@
             return;
         }
         self.suspicion = suspicion;
+        let cause = cause();
         if suspicion >= 1.0 {
-            self.cause = Some(cause());
+            self.cause = Some(cause.clone());
         }
+        self.strongest = Some(cause);
     }
 }
 
--- a/crates/core/src/rollout/rollout_record.rs
+++ b/crates/core/src/rollout/rollout_record.rs
@@ -23,6 +23,26 @@
     pub share_per_mille: u16,
 }
 
+/// What a bad version may get in all: a part of the service's calls over the
+/// whole time of the move, and some more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExposureBound {
+    /// Hundredths of all calls.
+    pub percent: u64,
+    /// Calls besides.
+    pub calls: u64,
+}
+
+impl ExposureBound {
+    /// Part of what is allowed that `got` calls are, where the service has
+    /// had `calls` in `part` of the move's time.
+    pub fn spent(&self, got: u64, calls: u64, part: f64) -> f64 {
+        let whole = calls as f64 / part.max(f64::MIN_POSITIVE);
+        let allowed = whole * self.percent as f64 / 100.0 + self.calls as f64;
+        got as f64 / allowed.max(1.0)
+    }
+}
+
 /// How a move ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RolloutEnd {
@@ -55,9 +75,9 @@
     pub if_quiet: QuietChoice,
     /// Calls of the new version wanted before each step.
     pub step_calls: u64,
-    /// True where what a bad version may get in all is bounded.
+    /// What a bad version may get in all, where that is bounded.
     #[serde(default)]
-    pub proving: bool,
+    pub exposure: Option<ExposureBound>,
     /// Wall clock of the start, milliseconds since 1970.
     pub started_ms: u64,
     /// Wall clock by which it must be done.
--- a/crates/core/src/rollout/share_plan.rs
+++ b/crates/core/src/rollout/share_plan.rs
@@ -71,7 +71,7 @@
 
 /// Part of the time at which the growth beyond [`PROVING_SHARE`] begins where
 /// what a bad version may get is bounded.
-const PROVED_PART: f64 = 0.42;
+const PROVED_PART: f64 = 0.36;
 
 /// Share until then, in thousandths: enough for a verdict on what shows at
 /// once or soon, and a tenth of what is allowed in all.
@@ -79,10 +79,10 @@
 
 /// Length of each doubling after it, as a part of the time, also of a move
 /// that is late: a second of a move of 14 s, in which a verdict comes.
-pub const PROVED_STEP: f64 = 0.07;
+pub const PROVED_STEP: f64 = 0.065;
 
 /// Part of the time at which the last check of such a move begins.
-const PROVED_LAST_PART: f64 = 0.79;
+const PROVED_LAST_PART: f64 = 0.74;
 
 /// Small until much of the time is over, then doubles.
 ///
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -42,9 +42,12 @@
     MoveFirstShare,
     /// Calls of a new version wanted before each step of its share.
     MoveStepCalls,
-    /// 1 where what a bad version may get in all is bounded: its share then
-    /// stays small until much of the time is over.
-    MoveProving,
+    /// Part of a service's calls during a move that a bad version may get, in
+    /// hundredths; 0 sets no bound. With one the share stays small until much
+    /// of the time is over.
+    MoveExposure,
+    /// Calls that it may get besides.
+    MoveExposureCalls,
     /// Least time that a move may be given, in seconds.
     MoveLeastSeconds,
 }
@@ -63,7 +66,8 @@
         Self::QueueWaitMs,
         Self::MoveFirstShare,
         Self::MoveStepCalls,
-        Self::MoveProving,
+        Self::MoveExposure,
+        Self::MoveExposureCalls,
         Self::MoveLeastSeconds,
     ];
 
@@ -81,7 +85,8 @@
             Self::QueueWaitMs => "queue_wait_ms",
             Self::MoveFirstShare => "move_first_share",
             Self::MoveStepCalls => "move_step_calls",
-            Self::MoveProving => "move_proving",
+            Self::MoveExposure => "move_exposure",
+            Self::MoveExposureCalls => "move_exposure_calls",
             Self::MoveLeastSeconds => "move_least_seconds",
         }
     }
@@ -100,7 +105,8 @@
             Self::QueueWaitMs => 1_000,
             Self::MoveFirstShare => 5,
             Self::MoveStepCalls => 30,
-            Self::MoveProving => 0,
+            Self::MoveExposure => 0,
+            Self::MoveExposureCalls => 50,
             Self::MoveLeastSeconds => 20,
         }
     }
@@ -119,7 +125,8 @@
             Self::QueueWaitMs => 0..=600_000,
             Self::MoveFirstShare => 1..=500,
             Self::MoveStepCalls => 1..=1_000_000,
-            Self::MoveProving => 0..=1,
+            Self::MoveExposure => 0..=100,
+            Self::MoveExposureCalls => 0..=1_000_000,
             Self::MoveLeastSeconds => 5..=86_400,
         }
     }
