--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -148,6 +148,16 @@
     sender
 }
 
+/// Asks the task; `None` once it has ended, with the process.
+pub async fn ask<T>(
+    fanout: &mpsc::Sender<FanoutMessage>,
+    message: impl FnOnce(oneshot::Sender<T>) -> FanoutMessage,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    fanout.send(message(reply)).await.ok()?;
+    answer.await.ok()
+}
+
 impl FanoutTask {
     async fn run(mut self, mut receiver: mpsc::Receiver<FanoutMessage>) {
         let mut tick = actix_rt::time::interval(TICK);
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -12,8 +12,7 @@
 use cowslip_wire::command_args;
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
-use cowslip_wire::settings_watch::SettingsWatch;
-use cowslip_wire::stop_signal;
+use cowslip_wire::settings_watch;
 
 /// Runs a control instance of cowslipwall.
 ///
@@ -51,16 +50,8 @@
 ) -> Result<(), Box<dyn std::error::Error>> {
     let sockets = ControlSockets::bind(settings.listen, settings.admin_listen)?;
     let daemon = ControlDaemon::spawn(settings, sockets)?;
-    let mut watch = SettingsWatch::<ControlSettings>::spawn(path);
-    let now = watch.look_now();
-    let stop = stop_signal::wait_and(|| now.look());
-    tokio::pin!(stop);
-    loop {
-        tokio::select! {
-            stopped = &mut stop => break stopped?,
-            Some(changed) = watch.changes.recv() => daemon.reload(&changed).await,
-        }
-    }
+    let reload = async |changed: ControlSettings| daemon.reload(&changed).await;
+    settings_watch::until_stopped(path, reload).await?;
     info!(
         "event=stopping process=control instance={}",
         settings.instance
--- a/crates/control/src/pin_task.rs
+++ b/crates/control/src/pin_task.rs
@@ -23,6 +23,7 @@
 
 use crate::agreed_task::AgreedHandle;
 use crate::agreed_task::AgreedMessage;
+use crate::fanout_task;
 use crate::fanout_task::FanoutMessage;
 
 /// How often the directory is looked at: well below the seconds in which a
@@ -36,7 +37,7 @@
         if !agreed.leader.borrow().leading() {
             continue;
         }
-        let Some(snapshot) = ask(&fanout, FanoutMessage::Show).await else {
+        let Some(snapshot) = fanout_task::ask(&fanout, FanoutMessage::Show).await else {
             return;
         };
         let open =
@@ -44,7 +45,8 @@
         if !snapshot.document.services.keys().any(|name| open(&name)) {
             continue;
         }
-        let Some(records) = ask(&fanout, FanoutMessage::Endpoints).await else {
+        let Some(records) = fanout_task::ask(&fanout, FanoutMessage::Endpoints).await
+        else {
             return;
         };
         for (service, version) in pins(&snapshot, &records) {
@@ -53,15 +55,6 @@
     }
 }
 
-async fn ask<T>(
-    fanout: &mpsc::Sender<FanoutMessage>,
-    message: impl FnOnce(oneshot::Sender<T>) -> FanoutMessage,
-) -> Option<T> {
-    let (reply, answer) = oneshot::channel();
-    fanout.send(message(reply)).await.ok()?;
-    answer.await.ok()
-}
-
 /// Services without a version, and the one that most of their servers run.
 fn pins(
     snapshot: &ConfigSnapshot,
--- a/crates/control/src/roster_task.rs
+++ b/crates/control/src/roster_task.rs
@@ -16,6 +16,7 @@
 
 use crate::agreed_task::AgreedHandle;
 use crate::agreed_task::AgreedMessage;
+use crate::fanout_task;
 use crate::fanout_task::FanoutMessage;
 
 /// How often the directory is looked at; the roster's own times are minutes.
@@ -31,10 +32,11 @@
             keeper = RosterKeeper::default();
             continue;
         }
-        let Some(snapshot) = ask(&fanout, FanoutMessage::Show).await else {
+        let Some(snapshot) = fanout_task::ask(&fanout, FanoutMessage::Show).await else {
             return;
         };
-        let Some(records) = ask(&fanout, FanoutMessage::Endpoints).await else {
+        let Some(records) = fanout_task::ask(&fanout, FanoutMessage::Endpoints).await
+        else {
             return;
         };
         // Before its first document a fleet has no calls to claim.
@@ -49,15 +51,6 @@
     }
 }
 
-async fn ask<T>(
-    fanout: &mpsc::Sender<FanoutMessage>,
-    message: impl FnOnce(oneshot::Sender<T>) -> FanoutMessage,
-) -> Option<T> {
-    let (reply, answer) = oneshot::channel();
-    fanout.send(message(reply)).await.ok()?;
-    answer.await.ok()
-}
-
 /// Proposes the roster on top of `version` alone; where another change came
 /// first, the next look proposes again.
 async fn propose(agreed: &AgreedHandle, version: ConfigVersion, roster: HolderRoster) {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -12,8 +12,7 @@
 use cowslip_wire::command_args;
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
-use cowslip_wire::settings_watch::SettingsWatch;
-use cowslip_wire::stop_signal;
+use cowslip_wire::settings_watch;
 
 /// Runs the node beside a backend server.
 ///
@@ -49,16 +48,8 @@
     let sockets = NodeSockets::bind(settings)?;
     let seed = rand::random();
     let daemon = NodeDaemon::spawn(settings, sockets, seed)?;
-    let mut watch = SettingsWatch::<NodeSettings>::spawn(path);
-    let now = watch.look_now();
-    let stop = stop_signal::wait_and(|| now.look());
-    tokio::pin!(stop);
-    loop {
-        tokio::select! {
-            stopped = &mut stop => break stopped?,
-            Some(changed) = watch.changes.recv() => daemon.reload(&changed),
-        }
-    }
+    let reload = async |changed: NodeSettings| daemon.reload(&changed);
+    settings_watch::until_stopped(path, reload).await?;
     info!("event=stopping process=node instance={}", settings.instance);
     let whole = daemon.stop().await;
     info!(
--- a/crates/wire/src/settings_watch.rs
+++ b/crates/wire/src/settings_watch.rs
@@ -5,6 +5,7 @@
 //! goes on with what it has.
 
 use std::fs;
+use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use crate::process_log::LogValue;
 use crate::settings_file;
 use crate::settings_reader::FromSettings;
+use crate::stop_signal;
 
 /// Pause between two looks. A process whose seeds have all gone is without
 /// news until it has read the new ones.
@@ -55,6 +57,24 @@
     }
 }
 
+/// Runs a process until a planned stop is asked for; `reload` gets settings
+/// that took the place of those before.
+pub async fn until_stopped<T: FromSettings + 'static>(
+    path: PathBuf,
+    mut reload: impl AsyncFnMut(T),
+) -> io::Result<()> {
+    let mut watch = SettingsWatch::<T>::spawn(path);
+    let now = watch.look_now();
+    let stop = stop_signal::wait_and(|| now.look());
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => return stopped,
+            Some(changed) = watch.changes.recv() => reload(changed).await,
+        }
+    }
+}
+
 async fn watch<T: FromSettings>(
     path: PathBuf,
     changes: mpsc::UnboundedSender<T>,
