--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -65,7 +65,7 @@
 /// Part of what a bad version may get from which suspicion is enough: calls
 /// on their way and those until the withdrawal reaches every node need the
 /// rest.
-const OVERSPENT_PART: f64 = 0.6;
+const OVERSPENT_PART: f64 = 0.45;
 
 /// Suspicion that is enough then: odds of some thirty to one.
 const OVERSPENT_SUSPICION: f64 = 0.4;
@@ -283,7 +283,9 @@
         } else {
             SUSPICION_LEVEL
         };
-        self.check(&time, sight, level)?;
+        // On trial no suspicion is outwaited: it costs calls, not time alone.
+        let on_trial = record.exposure.is_some() && share < HELD_SHARE;
+        self.check(&time, sight, level, on_trial)?;
         if last && time.held < time.whole.mul_f64(HOLD_PART) {
             return Err(Some(StepWait::LastSteps));
         }
@@ -317,7 +319,7 @@
         if !self.plan.is_over(time.elapsed, time.whole) {
             return Err(None);
         }
-        self.check(time, sight, LAST_SUSPICION_LEVEL)?;
+        self.check(time, sight, LAST_SUSPICION_LEVEL, false)?;
         if time.held < time.whole.mul_f64(LAST_CHECK_PART) {
             return Err(Some(StepWait::LastSteps));
         }
@@ -333,12 +335,13 @@
     }
 
     /// What every step needs: reporters that report, and no fresh suspicion
-    /// of `level` or more.
+    /// of `level` or more, nor a stale one where the version is `on_trial`.
     fn check(
         &self,
         time: &MoveTime,
         sight: &FleetSight,
         level: f64,
+        on_trial: bool,
     ) -> Result<(), Option<StepWait>> {
         // Guards against counts that look clean because those who would
         // count the failures are not heard.
@@ -355,7 +358,7 @@
         let grown_at = self.suspicion.grown_at;
         let fresh = time.now.saturating_sub(grown_at);
         let fresh = fresh < time.whole.mul_f64(SUSPICION_FRESH_PART);
-        if self.suspicion.level >= level && fresh && bounded {
+        if self.suspicion.level >= level && (on_trial || fresh && bounded) {
             return Err(Some(StepWait::Suspicion));
         }
         Ok(())
