Say once what stood twice: settled orders, counters at zero, callers' ages

Behaviour is the same. Counters of followers and of sources had one shape twice, the check of a known order stood in glance and in revise, and the longest time of a caller was built in two places.

--- a/crates/control/src/operator_desk.rs
+++ b/crates/control/src/operator_desk.rs
@@ -121,11 +121,7 @@
             LeaderAnswer::Elsewhere(leader) => return LeaderAnswer::Elsewhere(leader),
             LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
         };
-        if let Some(ChangeOutcome::Accepted { .. }) = current.answer {
-            return LeaderAnswer::Here(Some(OrderOutcome::Accepted));
-        }
-        let outrun = builds_on != current.number;
-        LeaderAnswer::Here(outrun.then_some(OrderOutcome::Outrun))
+        LeaderAnswer::Here(settled(&current, builds_on))
     }
 
     /// Puts a revision in force, or says why not.
@@ -136,11 +132,8 @@
             LeaderAnswer::Elsewhere(leader) => return LeaderAnswer::Elsewhere(leader),
             LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
         };
-        if let Some(ChangeOutcome::Accepted { .. }) = current.answer {
-            return LeaderAnswer::Here(OrderOutcome::Accepted);
-        }
-        if order.builds_on != current.number {
-            return LeaderAnswer::Here(OrderOutcome::Outrun);
+        if let Some(outcome) = settled(&current, order.builds_on) {
+            return LeaderAnswer::Here(outcome);
         }
         let revision = match revision(&order, &current) {
             Ok(revision) => revision,
@@ -243,6 +236,14 @@
     }
 }
 
+/// What is known of an order without its document.
+fn settled(current: &CurrentRevision, builds_on: u64) -> Option<OrderOutcome> {
+    if let Some(ChangeOutcome::Accepted { .. }) = current.answer {
+        return Some(OrderOutcome::Accepted);
+    }
+    (builds_on != current.number).then_some(OrderOutcome::Outrun)
+}
+
 fn newest(lines: Vec<RolloutLine>) -> Option<RolloutLine> {
     lines.into_iter().max_by_key(|line| line.record.rollout)
 }
--- a/crates/control/src/pin_task.rs
+++ b/crates/control/src/pin_task.rs
@@ -19,6 +19,7 @@
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
+use cowslip_core::document::ServiceSpec;
 use cowslip_wire::wall_clock;
 
 use crate::agreed_task::AgreedHandle;
@@ -40,9 +41,8 @@
         let Some(snapshot) = fanout_task::ask(&fanout, FanoutMessage::Show).await else {
             return;
         };
-        let open =
-            |spec: &&Arc<str>| snapshot.document.services[*spec].takes_any_version();
-        if !snapshot.document.services.keys().any(|name| open(&name)) {
+        let mut specs = snapshot.document.services.values();
+        if !specs.any(ServiceSpec::takes_any_version) {
             continue;
         }
         let Some(records) = fanout_task::ask(&fanout, FanoutMessage::Endpoints).await
--- a/crates/control/src/source_metrics.rs
+++ b/crates/control/src/source_metrics.rs
@@ -5,9 +5,10 @@
 use prometheus_client::registry::Registry;
 
 use cowslip_core::news_source::SourceCounts;
+use cowslip_wire::metric_start;
 
 /// Counters of one source, fed from its own counts.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct SourceMetrics {
     seen: SourceCounts,
     admitted: Counter,
@@ -19,29 +20,30 @@
 impl SourceMetrics {
     /// Counters registered under `cowslip_source`, all of them at zero.
     pub fn new(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
         let registry = registry.sub_registry_with_prefix("cowslip_source");
-        registry.register(
-            "admitted",
-            "First questions of followers that were taken",
-            metrics.admitted.clone(),
-        );
-        registry.register(
-            "told_later",
-            "First questions of followers told when to come back",
-            metrics.told_later.clone(),
-        );
-        registry.register(
-            "leases_ended",
-            "Endpoints removed because nobody renewed their lease",
-            metrics.leases_ended.clone(),
-        );
-        registry.register(
-            "leases_frozen",
-            "Ended leases that are held because too many ended at once",
-            metrics.leases_frozen.clone(),
-        );
-        metrics
+        Self {
+            seen: SourceCounts::default(),
+            admitted: metric_start::counter(
+                registry,
+                "admitted",
+                "First questions of followers that were taken",
+            ),
+            told_later: metric_start::counter(
+                registry,
+                "told_later",
+                "First questions of followers told when to come back",
+            ),
+            leases_ended: metric_start::counter(
+                registry,
+                "leases_ended",
+                "Endpoints removed because nobody renewed their lease",
+            ),
+            leases_frozen: metric_start::gauge(
+                registry,
+                "leases_frozen",
+                "Ended leases that are held because too many ended at once",
+            ),
+        }
     }
 
     /// Takes over the counts of the source.
--- a/crates/core/src/load/caller_ages.rs
+++ b/crates/core/src/load/caller_ages.rs
@@ -39,22 +39,19 @@
         route: &Arc<str>,
         deadline: Duration,
     ) -> Duration {
+        let given = LongestTime {
+            time: deadline,
+            seen_at: now,
+        };
         if let Some(longest) = self.routes.get_mut(route) {
             if deadline < longest.time && now < longest.seen_at + KEPT {
                 return longest.time - deadline;
             }
-            *longest = LongestTime {
-                time: deadline,
-                seen_at: now,
-            };
+            *longest = given;
             return Duration::ZERO;
         }
         if self.routes.len() < ROUTES_MAX {
-            let longest = LongestTime {
-                time: deadline,
-                seen_at: now,
-            };
-            self.routes.insert(Arc::clone(route), longest);
+            self.routes.insert(Arc::clone(route), given);
         }
         Duration::ZERO
     }
--- a/crates/node/src/follow_metrics.rs
+++ b/crates/node/src/follow_metrics.rs
@@ -4,9 +4,10 @@
 use prometheus_client::registry::Registry;
 
 use cowslip_core::version_follower::FollowCounts;
+use cowslip_wire::metric_start;
 
 /// Counters of one follower, fed from its own counts.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct FollowMetrics {
     seen: FollowCounts,
     stale: Counter,
@@ -20,39 +21,40 @@
 impl FollowMetrics {
     /// Counters registered under `cowslip_follow`, all of them at zero.
     pub fn new(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
         let registry = registry.sub_registry_with_prefix("cowslip_follow");
-        registry.register(
-            "stale",
-            "Versions passed over because they were not above the one held",
-            metrics.stale.clone(),
-        );
-        registry.register(
-            "damaged",
-            "Deltas or chunks that did not fit or were damaged",
-            metrics.damaged.clone(),
-        );
-        registry.register(
-            "refused",
-            "Versions refused by validation",
-            metrics.refused.clone(),
-        );
-        registry.register(
-            "unconfirmed",
-            "Versions not taken at the start because nothing confirmed them",
-            metrics.unconfirmed.clone(),
-        );
-        registry.register(
-            "failed",
-            "Questions to control instances that got no answer",
-            metrics.failed.clone(),
-        );
-        registry.register(
-            "told_later",
-            "Questions that were told when to come back",
-            metrics.told_later.clone(),
-        );
-        metrics
+        Self {
+            seen: FollowCounts::default(),
+            stale: metric_start::counter(
+                registry,
+                "stale",
+                "Versions passed over because they were not above the one held",
+            ),
+            damaged: metric_start::counter(
+                registry,
+                "damaged",
+                "Deltas or chunks that did not fit or were damaged",
+            ),
+            refused: metric_start::counter(
+                registry,
+                "refused",
+                "Versions refused by validation",
+            ),
+            unconfirmed: metric_start::counter(
+                registry,
+                "unconfirmed",
+                "Versions not taken at the start because nothing confirmed them",
+            ),
+            failed: metric_start::counter(
+                registry,
+                "failed",
+                "Questions to control instances that got no answer",
+            ),
+            told_later: metric_start::counter(
+                registry,
+                "told_later",
+                "Questions that were told when to come back",
+            ),
+        }
     }
 
     /// Takes over the counts of the follower.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http_reply;
 pub mod message_reply;
 pub mod messages;
+pub mod metric_start;
 pub mod peer_client;
 pub mod plain_client;
 pub mod process_log;
