A fleet whose voters all start again elects at once

Cause: after the loss of all processes each voter waited 500 ms for leases that it might have granted, and up to 400 ms more before it stood; meanwhile no node had a configuration, and every caller was refused. Ruled out: shorter leases; leaders with 0.075 of a core lose those in work. Now a candidate that hears from every voter, at its own term, that it neither leads nor stands asks for votes that need not wait. Where one is away the wait stands.

--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -10,17 +10,57 @@
 use crate::agreement::member_message::MessageBody;
 use crate::agreement::saved_state::HardState;
 use crate::agreement::timing::ELECTION_MIN;
+use crate::agreement::timing::START_PATIENCE;
 use crate::version::ConfigVersion;
 
+/// What voters answered to the question whether an election would be won.
+#[derive(Clone, Debug)]
+pub(super) struct PreVotes {
+    /// Those that would vote for the asker.
+    granted: BTreeSet<Arc<str>>,
+    /// Those that can lead no term up to the asker's any more.
+    idle: BTreeSet<Arc<str>>,
+}
+
+/// One voter's answer to that question.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct VoterWord {
+    /// It would vote for the asker.
+    pub(super) granted: bool,
+    /// It is at the asker's term and can lead no term up to that any more.
+    pub(super) idle: bool,
+}
+
+/// Why a candidate's voters need not wait for leases to end.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct VoteGround {
+    /// The leader of the term before gave up its lease for the candidate.
+    pub(super) handed_over: bool,
+    /// Every voter was idle in the term before.
+    pub(super) all_idle: bool,
+}
+
 impl AgreementMember {
+    /// True where it is time to ask whether all voters have started again:
+    /// until the wait after the own start is over, or a leader is heard.
+    pub(super) fn is_start_ask_due(&self, now: Duration) -> bool {
+        let starting = now < self.quiet_until && self.leader_heard.is_none();
+        starting && now >= self.start_ask_at && self.is_voter()
+    }
+
     /// Asks whether an election would be won, without raising the term.
     ///
     /// Guards against a member that was cut off: without this it would come
     /// back with a high term and depose a leader that serves well.
     pub(super) fn ask_pre_votes(&mut self, now: Duration) {
-        let own = Arc::clone(&self.identity.instance);
-        self.stage = MemberStage::PreCandidate(BTreeSet::from([own]));
-        self.delay_election(now);
+        let own = BTreeSet::from([Arc::clone(&self.identity.instance)]);
+        // While it waits after its start its own vote is not free either.
+        let granted = if self.is_free_to_vote(now) {
+            own.clone()
+        } else {
+            BTreeSet::new()
+        };
+        self.stage = MemberStage::PreCandidate(PreVotes { granted, idle: own });
         let last = self.log.last();
         for voter in self.other_voters() {
             self.send(&voter, MessageBody::PreVote { last });
@@ -38,42 +78,81 @@
         let granted = next_term > self.hard.term
             && last >= self.log.last()
             && self.is_free_to_vote(now);
-        let body = MessageBody::PreVoteAnswer { next_term, granted };
+        let body = MessageBody::PreVoteAnswer {
+            next_term,
+            granted,
+            idle: last >= self.log.last() && self.is_idle_in(message.term),
+        };
         self.answer(message, body);
     }
 
+    /// True where this member is at `term` and can lead neither that one nor
+    /// an earlier one any more: leadership is in memory only, and a candidate
+    /// that asks anew has given up its term.
+    fn is_idle_in(&self, term: u64) -> bool {
+        let idle = matches!(
+            self.stage,
+            MemberStage::Follower | MemberStage::PreCandidate(_)
+        );
+        idle && self.hard.term == term
+    }
+
     pub(super) fn take_pre_vote(
         &mut self,
         now: Duration,
         message: &MemberMessage,
         next_term: u64,
-        granted: bool,
+        said: VoterWord,
     ) {
         if message.term > self.hard.term {
             self.follow(now, message.term);
             return;
         }
-        let counts = granted && next_term == self.hard.term + 1;
-        if !counts || !self.is_listed(message) {
+        if next_term != self.hard.term + 1 || !self.is_listed(message) {
             return;
         }
-        if let MemberStage::PreCandidate(votes) = &mut self.stage {
-            votes.insert(Arc::clone(&message.from));
-            self.count_pre_votes(now);
+        let MemberStage::PreCandidate(votes) = &mut self.stage else {
+            return;
+        };
+        if said.granted {
+            votes.granted.insert(Arc::clone(&message.from));
+        }
+        if said.idle && message.term == self.hard.term {
+            votes.idle.insert(Arc::clone(&message.from));
         }
+        self.count_pre_votes(now);
     }
 
+    /// Stands for election where a majority would vote for this member, or
+    /// where all voters have started again.
+    ///
+    /// A voter that starts again waits for leases that it may have granted
+    /// and forgotten. After the loss of all processes that is half a second
+    /// in which no node has a configuration. But where every voter can lead
+    /// no term up to this one any more, no such lease is left. Whoever leads
+    /// a later term than the one asked for raises the terms of a majority,
+    /// whose voters then refuse this candidate.
     fn count_pre_votes(&mut self, now: Duration) {
         let MemberStage::PreCandidate(votes) = &self.stage else {
             return;
         };
-        if self.is_majority(votes) {
-            self.campaign(now, false);
+        if self.is_majority(&votes.granted) {
+            self.campaign(now, VoteGround::default());
+            return;
+        }
+        let members = self.log.members();
+        let all_idle = members.voters().all(|voter| votes.idle.contains(voter));
+        if all_idle && now < self.quiet_until {
+            let ground = VoteGround {
+                all_idle,
+                ..VoteGround::default()
+            };
+            self.campaign(now, ground);
         }
     }
 
     /// Raises the term and asks for votes in it.
-    fn campaign(&mut self, now: Duration, handed_over: bool) {
+    fn campaign(&mut self, now: Duration, ground: VoteGround) {
         let own = Arc::clone(&self.identity.instance);
         self.follow(now, self.hard.term + 1);
         self.set_hard(HardState {
@@ -81,9 +160,15 @@
             ..self.hard.clone()
         });
         self.stage = MemberStage::Candidate(BTreeSet::from([own]));
+        self.delay_start_ask(now, START_PATIENCE);
         let last = self.log.last();
         for voter in self.other_voters() {
-            self.send(&voter, MessageBody::Vote { last, handed_over });
+            let vote = MessageBody::Vote {
+                last,
+                handed_over: ground.handed_over,
+                all_idle: ground.all_idle,
+            };
+            self.send(&voter, vote);
         }
     }
 
@@ -92,7 +177,7 @@
         now: Duration,
         message: &MemberMessage,
         last: ConfigVersion,
-        handed_over: bool,
+        ground: VoteGround,
     ) {
         if message.term < self.hard.term {
             self.answer(message, MessageBody::VoteAnswer { granted: false });
@@ -101,7 +186,9 @@
         // A hand-over needs no wait: the leader of the term before gave up
         // its lease before it named its successor, and leases of older
         // terms had ended before that leader was elected.
-        if !handed_over && !self.is_free_to_vote(now) {
+        let forgotten = now < self.quiet_until && !ground.all_idle;
+        let free = !forgotten && self.is_free_of_leases(now);
+        if !ground.handed_over && !free {
             return;
         }
         if message.term > self.hard.term {
@@ -116,6 +203,7 @@
                 ..self.hard.clone()
             });
             self.delay_election(now);
+            self.delay_start_ask(now, START_PATIENCE);
         }
         self.answer(message, MessageBody::VoteAnswer { granted });
     }
@@ -154,18 +242,27 @@
     /// The leader of this term has stepped down in favour of this member.
     pub(super) fn take_over(&mut self, now: Duration, message: &MemberMessage) {
         if message.term == self.hard.term && self.is_voter() && !self.is_leader() {
-            self.campaign(now, true);
+            let ground = VoteGround {
+                handed_over: true,
+                ..VoteGround::default()
+            };
+            self.campaign(now, ground);
         }
     }
 
     /// True where no leader can still hold a lease that this member
     /// granted, before or after its last start.
     fn is_free_to_vote(&self, now: Duration) -> bool {
+        now >= self.quiet_until && self.is_free_of_leases(now)
+    }
+
+    /// The same for leases granted since its last start.
+    fn is_free_of_leases(&self, now: Duration) -> bool {
         if let MemberStage::Leader(leadership) = &self.stage {
             return !leadership.is_confirmed(self, now);
         }
         let heard = self.leader_heard;
-        now >= self.quiet_until && heard.is_none_or(|at| now >= at + ELECTION_MIN)
+        heard.is_none_or(|at| now >= at + ELECTION_MIN)
     }
 
     /// True where the sender is a member with the folder it was listed by.
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -14,6 +14,9 @@
 use rand::Rng;
 use rand::SeedableRng;
 
+use crate::agreement::election::PreVotes;
+use crate::agreement::election::VoteGround;
+use crate::agreement::election::VoterWord;
 use crate::agreement::founding::Greeting;
 use crate::agreement::leadership::Leadership;
 use crate::agreement::log_entry::LogEntry;
@@ -35,6 +38,7 @@
 use crate::agreement::saved_state::WriteBatch;
 use crate::agreement::timing::ELECTION_MIN;
 use crate::agreement::timing::ELECTION_SPREAD;
+use crate::agreement::timing::START_SPREAD;
 use crate::agreement::timing::STEP_DOWN;
 use crate::version::ConfigVersion;
 
@@ -43,8 +47,8 @@
 pub(super) enum MemberStage {
     /// It follows, or waits for a leader.
     Follower,
-    /// It asks whether an election would be won; voters that said yes.
-    PreCandidate(BTreeSet<Arc<str>>),
+    /// It asks whether an election would be won; what voters said.
+    PreCandidate(PreVotes),
     /// It asks for votes; voters that gave theirs.
     Candidate(BTreeSet<Arc<str>>),
     /// It leads.
@@ -113,6 +117,8 @@
     /// No vote is given before this time.
     pub(super) quiet_until: Duration,
     pub(super) election_at: Duration,
+    /// When it next asks whether all voters have started again.
+    pub(super) start_ask_at: Duration,
     pub(super) hello_at: Duration,
     pub(super) may_found: bool,
     /// Voters that the leader sees to by itself; 0 leaves them to operators.
@@ -157,11 +163,13 @@
             // lease that this voter granted before it crashed and forgot.
             quiet_until: now + ELECTION_MIN,
             election_at: now,
+            start_ask_at: now,
             hello_at: now,
             may_found: true,
             voters_wanted: 0,
         };
         member.delay_election(now);
+        member.delay_start_ask(now, Duration::ZERO);
         member
     }
 
@@ -266,6 +274,11 @@
             return;
         }
         if now >= self.election_at && self.is_voter() {
+            self.delay_election(now);
+            self.ask_pre_votes(now);
+        }
+        if self.is_start_ask_due(now) {
+            self.delay_start_ask(now, Duration::ZERO);
             self.ask_pre_votes(now);
         }
     }
@@ -305,11 +318,27 @@
     fn take_part(&mut self, now: Duration, message: MemberMessage) {
         match &message.body {
             MessageBody::PreVote { last } => self.answer_pre_vote(now, &message, *last),
-            MessageBody::PreVoteAnswer { next_term, granted } => {
-                self.take_pre_vote(now, &message, *next_term, *granted);
+            MessageBody::PreVoteAnswer {
+                next_term,
+                granted,
+                idle,
+            } => {
+                let said = VoterWord {
+                    granted: *granted,
+                    idle: *idle,
+                };
+                self.take_pre_vote(now, &message, *next_term, said);
             }
-            MessageBody::Vote { last, handed_over } => {
-                self.answer_vote(now, &message, *last, *handed_over);
+            MessageBody::Vote {
+                last,
+                handed_over,
+                all_idle,
+            } => {
+                let ground = VoteGround {
+                    handed_over: *handed_over,
+                    all_idle: *all_idle,
+                };
+                self.answer_vote(now, &message, *last, ground);
             }
             MessageBody::VoteAnswer { granted } => {
                 self.take_vote(now, &message, *granted);
@@ -413,6 +442,12 @@
         self.election_at = now + ELECTION_MIN + Duration::from_millis(spread);
     }
 
+    pub(super) fn delay_start_ask(&mut self, now: Duration, patience: Duration) {
+        let spread = START_SPREAD.as_millis() as u64;
+        let spread = self.random.random_range(0..spread);
+        self.start_ask_at = now + patience + Duration::from_millis(spread);
+    }
+
     pub(super) fn message(
         &self,
         to: &Arc<str>,
--- a/crates/core/src/agreement/member_message.rs
+++ b/crates/core/src/agreement/member_message.rs
@@ -74,6 +74,10 @@
         next_term: u64,
         /// The answer.
         granted: bool,
+        /// The answering voter is at the asker's term, and can lead neither
+        /// that one nor an earlier one any more.
+        #[serde(default)]
+        idle: bool,
     },
     /// The sender asks for a vote in its term.
     Vote {
@@ -81,6 +85,9 @@
         last: ConfigVersion,
         /// The leader of the term before handed over to the sender.
         handed_over: bool,
+        /// Every voter said that it is idle, in the term before.
+        #[serde(default)]
+        all_idle: bool,
     },
     /// Answer to a vote.
     VoteAnswer {
--- a/crates/core/src/agreement/timing.rs
+++ b/crates/core/src/agreement/timing.rs
@@ -31,6 +31,15 @@
 /// are seldom within one round trip and one sync of each other.
 pub const ELECTION_SPREAD: Duration = Duration::from_millis(400);
 
+/// Random time after its start, and between its tries, in which a member asks
+/// whether all voters have started again: some round trips of a few
+/// milliseconds, and long enough that two seldom ask together.
+pub const START_SPREAD: Duration = Duration::from_millis(120);
+
+/// How long such a member lets an election go on before it asks again: two
+/// round trips and two syncs on machines short of processor.
+pub const START_PATIENCE: Duration = Duration::from_millis(250);
+
 /// How long after a confirmed heartbeat the leader answers as fresh.
 pub const LEASE: Duration = Duration::from_millis(450);
 
--- a/crates/core/tests/agreement/failures.rs
+++ b/crates/core/tests/agreement/failures.rs
@@ -522,3 +522,73 @@
     let member = fleet.instances[leader].member.as_ref().expect("it runs");
     assert!(member.state().answer("kept").is_some());
 }
+
+// The power of the whole fleet fails for a moment, and every process starts
+// again. No node has a configuration until somebody leads, so callers are
+// refused that long. All voters are there and none of them leads: nobody can
+// hold a lease that one of them has forgotten, and there is nothing to wait for.
+#[test]
+fn a_fleet_that_starts_again_whole_has_a_leader_at_once() {
+    for voters in [3, 5] {
+        let mut waits = Vec::new();
+        for seed in 0..40 {
+            let mut fleet = Fleet::new(voters, 0, seed);
+            fleet.settle();
+            fleet.decide(&change("before", None));
+            for at in 0..voters {
+                fleet.crash(at);
+            }
+            fleet.run(Duration::from_millis(650));
+            for at in 0..voters {
+                fleet.start(at);
+            }
+            let started = fleet.now;
+            fleet.settle();
+            waits.push(fleet.now - started);
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+        waits.sort();
+        // Messages take up to 50 ms here and syncs up to 60; a wait for
+        // forgotten leases alone would be 500.
+        let (usual, longest) = (waits[20], waits[39]);
+        assert!(usual < Duration::from_millis(400), "{voters}: {waits:?}");
+        assert!(
+            longest < Duration::from_millis(1_500),
+            "{voters}: {waits:?}"
+        );
+    }
+}
+
+// All followers crash and start again within a few milliseconds, while their
+// leader runs on and answers as fresh under the lease that they granted and
+// forgot. They find each other idle at once. Did they not wait for the leader,
+// which is not idle, two instances would answer as fresh at once.
+#[test]
+fn followers_that_start_again_together_keep_their_leaders_lease() {
+    for voters in [3, 5] {
+        for seed in 0..200 {
+            let mut fleet = Fleet::new(voters, 0, seed);
+            let leader = fleet.settle();
+            fleet.decide(&change("before", None));
+            if !fleet.leading().contains(&leader) {
+                continue;
+            }
+            let followers = others(&fleet, leader);
+            for at in &followers {
+                fleet.crash(*at);
+            }
+            for at in &followers {
+                fleet.start(*at);
+            }
+            // The leader hears the first questions and is cut off then.
+            fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
+            fleet.groups[leader] = 1;
+            fleet.run(Duration::from_secs(2));
+            fleet.heal();
+            fleet.settle();
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+    }
+}
--- a/crates/core/tests/agreement/properties.rs
+++ b/crates/core/tests/agreement/properties.rs
@@ -16,6 +16,7 @@
     Run(u64),
     Change(usize),
     Crash(usize),
+    CrashAll(u64),
     CrashLeader,
     CutLeader,
     Stall(usize, u64),
@@ -31,6 +32,7 @@
         4 => (10_u64..1_500).prop_map(FleetStep::Run),
         6 => (10_u64..80).prop_map(FleetStep::Run),
         1 => Just(FleetStep::CrashLeader),
+        1 => (0_u64..700).prop_map(FleetStep::CrashAll),
         1 => Just(FleetStep::CutLeader),
         2 => (0..members, 50_u64..2_000).prop_map(|(at, time)| FleetStep::Stall(at, time)),
         8 => (0..members).prop_map(FleetStep::Change),
@@ -60,6 +62,15 @@
             }
         }
         FleetStep::Crash(at) => fleet.crash(*at),
+        FleetStep::CrashAll(millis) => {
+            for at in 0..members {
+                fleet.crash(at);
+            }
+            fleet.run(Duration::from_millis(*millis));
+            for at in 0..members {
+                fleet.start(at);
+            }
+        }
         FleetStep::CrashLeader => {
             for leader in fleet.leading() {
                 fleet.crash(leader);
