Calls wait a moment for the first configuration of a node that starts

Cause: after the loss of all processes a node takes calls some 0.45 s before a control instance can tell it the configuration; refused at once, their callers came back a second or more later and were all late. Ruled out: shorter times to come back; they use up the callers' few tries where control stays away longer. Bounded to the first 1.5 s of a process, a quarter of the caller's time and 256 calls. Tests: two fail with calls refused at once.

--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -23,5 +23,6 @@
 pub mod server_pool;
 pub mod service_pressure;
 pub mod service_times;
+pub mod start_room;
 pub mod timely_queue;
 pub mod warm_ramp;
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -41,12 +41,17 @@
 use crate::gate_task::GateBounds;
 use crate::gate_task::GateMessage;
 use crate::server_check::ServerExpectation;
+use crate::start_calls::StartCalls;
 
 /// Messages waiting for the task; beyond them calls wait at their sockets.
 const MESSAGES_MAX: usize = 4_096;
 
+/// How often calls that wait for the first configuration are looked at; a
+/// tenth of the shortest time that callers give.
+const START_TICK: Duration = Duration::from_millis(20);
+
 /// A call's head, owned, as it goes to the task.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OwnedHead {
     /// Host that the caller names, without a port.
     pub host: String,
@@ -141,6 +146,7 @@
     router: EntryRouter,
     gate: mpsc::UnboundedSender<GateMessage>,
     hooks: InstallHooks,
+    waiting: StartCalls,
     refused: Option<ConfigVersion>,
     heard: Option<BootInstant>,
     started: BootInstant,
@@ -190,6 +196,7 @@
         router: EntryRouter::new(Arc::clone(&failure_domain), seed),
         gate,
         hooks,
+        waiting: StartCalls::default(),
         instance,
         failure_domain,
         refused: None,
@@ -202,7 +209,19 @@
 
 impl EntryTask {
     async fn run(mut self, mut receiver: mpsc::Receiver<EntryMessage>) {
-        while let Some(message) = receiver.recv().await {
+        loop {
+            if !self.waiting.is_empty() {
+                self.waiting.refuse_late(self.started.elapsed());
+            }
+            let message = tokio::select! {
+                message = receiver.recv() => message,
+                () = actix_rt::time::sleep(START_TICK), if !self.waiting.is_empty() => {
+                    continue;
+                }
+            };
+            let Some(message) = message else {
+                return;
+            };
             self.take(message);
         }
     }
@@ -210,8 +229,7 @@
     fn take(&mut self, message: EntryMessage) {
         match message {
             EntryMessage::Admit(head, reply) => {
-                let answer = self.admit(&head);
-                self.hand_over(reply, answer);
+                self.take_call(head, reply);
             }
             EntryMessage::Failed(failed, failure, reply) => {
                 let answer = self.failed(*failed, failure);
@@ -228,7 +246,8 @@
                 self.router.abandoned(self.started.elapsed(), &instance);
             }
             EntryMessage::Install(snapshot, endpoints) => {
-                self.install(snapshot, endpoints)
+                self.install(snapshot, endpoints);
+                self.take_waiting();
             }
             EntryMessage::Tried(ended) => self.router.guard().record(&ended),
             EntryMessage::Look(due, reply) => {
@@ -255,6 +274,27 @@
         }
     }
 
+    fn take_call(&mut self, head: OwnedHead, reply: oneshot::Sender<TryAnswer>) {
+        match self.admit(&head) {
+            Ok(planned) => self.hand_over(reply, Ok(planned)),
+            Err(refusal) => {
+                let now = self.started.elapsed();
+                self.waiting.keep_or_refuse(now, head, refusal, reply);
+            }
+        }
+    }
+
+    /// Tries those again that wait for what has just been installed.
+    fn take_waiting(&mut self) {
+        for call in self.waiting.take() {
+            let head = call.head_at(self.started.elapsed());
+            match self.admit(&head) {
+                Ok(planned) => self.hand_over(call.reply, Ok(planned)),
+                Err(refusal) => self.waiting.put_back(call, refusal),
+            }
+        }
+    }
+
     fn admit(&mut self, head: &OwnedHead) -> TryAnswer {
         let now = self.started.elapsed();
         let head = CallHead {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod peer_handler;
 pub mod server_check;
 pub mod server_probe;
+pub mod start_calls;
--- /dev/null
+++ b/crates/node/src/start_calls.rs
@@ -0,0 +1,111 @@
+//! Calls that wait for the first configuration of a node.
+//!
+//! Which calls wait and how long is decided in
+//! [`cowslip_core::load::start_room`]; here they are kept.
+
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use cowslip_core::load::start_room;
+use cowslip_core::refusal::RefusalReason;
+
+use crate::entry_task::CallRefusal;
+use crate::entry_task::OwnedHead;
+use crate::entry_task::TryAnswer;
+
+/// A call that waits.
+#[derive(Debug)]
+pub struct StartCall {
+    /// Its head, as it came.
+    pub head: OwnedHead,
+    /// Where its answer goes.
+    pub reply: oneshot::Sender<TryAnswer>,
+    /// When it came, from the node's start.
+    arrived_at: Duration,
+    until: Duration,
+    /// Why it could not be served yet.
+    refusal: CallRefusal,
+}
+
+impl StartCall {
+    /// Its head with the time that is left of what the caller gave.
+    pub fn head_at(&self, now: Duration) -> OwnedHead {
+        let waited = now.saturating_sub(self.arrived_at);
+        let mut head = self.head.clone();
+        head.deadline = head.deadline.map(|given| given.saturating_sub(waited));
+        head
+    }
+}
+
+/// True for a refusal that a configuration or directory to come may end.
+fn may_pass(refusal: CallRefusal) -> bool {
+    matches!(
+        refusal.reason,
+        RefusalReason::NoConfiguration | RefusalReason::NoEndpoint
+    )
+}
+
+/// Calls that wait.
+#[derive(Debug, Default)]
+pub struct StartCalls {
+    calls: Vec<StartCall>,
+}
+
+impl StartCalls {
+    /// True where none waits.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Keeps a call that was refused at `now`, or answers it with that.
+    pub fn keep_or_refuse(
+        &mut self,
+        now: Duration,
+        head: OwnedHead,
+        refusal: CallRefusal,
+        reply: oneshot::Sender<TryAnswer>,
+    ) {
+        let until = start_room::wait_until(now, head.deadline, self.calls.len());
+        let Some(until) = until.filter(|_| may_pass(refusal)) else {
+            // A caller that left needs no answer.
+            let _ = reply.send(Err(refusal));
+            return;
+        };
+        self.calls.push(StartCall {
+            head,
+            reply,
+            arrived_at: now,
+            until,
+            refusal,
+        });
+    }
+
+    /// Takes out all that wait, to be tried again.
+    pub fn take(&mut self) -> Vec<StartCall> {
+        std::mem::take(&mut self.calls)
+    }
+
+    /// Puts back a call that was refused again, or answers it with that.
+    pub fn put_back(&mut self, call: StartCall, refusal: CallRefusal) {
+        if may_pass(refusal) {
+            self.calls.push(StartCall { refusal, ..call });
+        } else {
+            let _ = call.reply.send(Err(refusal));
+        }
+    }
+
+    /// Refuses those whose time is over.
+    pub fn refuse_late(&mut self, now: Duration) {
+        for call in self.take() {
+            if call.reply.is_closed() {
+                continue;
+            }
+            if now < call.until {
+                self.calls.push(call);
+                continue;
+            }
+            let _ = call.reply.send(Err(call.refusal));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/start_calls.rs
@@ -0,0 +1,165 @@
+//! Calls that come before a node that starts has its configuration.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use cowslip_core::control_state::ConfigSnapshot;
+use cowslip_core::directory::EndpointRecord;
+use cowslip_core::directory::EndpointStanding;
+use cowslip_core::document::FleetDocument;
+use cowslip_core::document::RouteSpec;
+use cowslip_core::document::ServiceSpec;
+use cowslip_core::entry_router::CallOrigin;
+use cowslip_core::load::start_room;
+use cowslip_core::refusal::RefusalReason;
+use cowslip_core::version::ConfigVersion;
+use cowslip_node::entry_task;
+use cowslip_node::entry_task::EntryMessage;
+use cowslip_node::entry_task::InstallHooks;
+use cowslip_node::entry_task::OwnedHead;
+use cowslip_node::entry_task::TryAnswer;
+use cowslip_node::server_check::ServerExpectation;
+use cowslip_wire::http_listener::ListenerTimes;
+
+fn run(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(test);
+}
+
+fn entry() -> mpsc::Sender<EntryMessage> {
+    let (gate, _) = mpsc::unbounded_channel();
+    let (check, _) = mpsc::unbounded_channel();
+    let hooks = InstallHooks {
+        configured: Rc::new(Cell::new(false)),
+        expectation: ServerExpectation {
+            service: None,
+            address: None,
+            check,
+        },
+        times: watch::channel(ListenerTimes::default()).0,
+    };
+    entry_task::spawn("records-1".into(), "voss".into(), gate, hooks, 1)
+}
+
+async fn call(
+    entry: &mpsc::Sender<EntryMessage>,
+    path: &str,
+    deadline_ms: u64,
+) -> oneshot::Receiver<TryAnswer> {
+    let head = OwnedHead {
+        host: "one.example".to_owned(),
+        path: path.to_owned(),
+        origin: CallOrigin::Outside,
+        customer: String::new(),
+        idempotent: true,
+        deadline: Some(Duration::from_millis(deadline_ms)),
+    };
+    let (reply, answer) = oneshot::channel();
+    let sent = entry.send(EntryMessage::Admit(head, reply)).await;
+    sent.expect("the task runs");
+    answer
+}
+
+fn configuration() -> ConfigSnapshot {
+    let spec = ServiceSpec {
+        version: "v1".into(),
+        ..ServiceSpec::default()
+    };
+    let route = RouteSpec {
+        path: "/prices".into(),
+        service: "records".into(),
+        ..RouteSpec::default()
+    };
+    let document = FleetDocument {
+        services: BTreeMap::from([("records".into(), spec)]),
+        routes: vec![Arc::new(route)],
+        ..FleetDocument::default()
+    };
+    ConfigSnapshot {
+        version: ConfigVersion::new(1, 1),
+        document: Arc::new(document),
+    }
+}
+
+fn server() -> EndpointRecord {
+    EndpointRecord {
+        instance: "records-2".into(),
+        service: "records".into(),
+        version: "v1".into(),
+        failure_domain: "voss".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
+        slots: 5,
+        standing: EndpointStanding::Serving,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+async fn install(
+    entry: &mpsc::Sender<EntryMessage>,
+    snapshot: Option<ConfigSnapshot>,
+    records: Vec<EndpointRecord>,
+) {
+    let sent = entry.send(EntryMessage::Install(snapshot, records)).await;
+    sent.expect("the task runs");
+}
+
+// A fleet starts again after the loss of all processes. A caller's node is
+// up half a second before anybody can tell it the configuration, and learns
+// of a server a moment after that. Refused at once, the caller would come
+// back a second later and be late; it waits, and is served.
+#[test]
+fn a_call_waits_for_the_first_configuration_and_server() {
+    run(async {
+        let entry = entry();
+        let served = call(&entry, "/prices/today", 4_000).await;
+        let unknown = call(&entry, "/nowhere", 4_000).await;
+        actix_rt::time::sleep(Duration::from_millis(60)).await;
+        install(&entry, Some(configuration()), Vec::new()).await;
+        // What the configuration refuses for good is told at once.
+        let refused = unknown.await.expect("an answer").expect_err("no route");
+        assert_eq!(refused.reason, RefusalReason::NoRoute);
+        install(&entry, None, vec![server()]).await;
+        let planned = served.await.expect("an answer").expect("a server");
+        assert_eq!(&*planned.server.instance, "records-2");
+        // The wait is taken off the time that the caller gave.
+        assert!(planned.left < Duration::from_millis(3_960), "{planned:?}");
+    });
+}
+
+// No control instance comes back. Whoever waits gets a final answer after a
+// part of its time, early enough to try elsewhere; whoever leaves is
+// forgotten; and nobody waits any more once the node has been up for a while.
+#[test]
+fn a_call_is_refused_where_no_configuration_comes() {
+    run(async {
+        let entry = entry();
+        let started = std::time::Instant::now();
+        let short = call(&entry, "/prices", 400).await;
+        drop(call(&entry, "/prices", 400).await);
+        let refused = short.await.expect("an answer").expect_err("nothing known");
+        assert_eq!(refused.reason, RefusalReason::NoConfiguration);
+        let waited = started.elapsed();
+        assert!(waited >= Duration::from_millis(100), "{waited:?}");
+        assert!(waited < Duration::from_millis(300), "{waited:?}");
+    });
+}
+
+#[test]
+fn waiting_is_bounded_in_time_and_number() {
+    let ms = Duration::from_millis;
+    let until = start_room::wait_until;
+    assert_eq!(until(ms(100), Some(ms(800)), 0), Some(ms(300)));
+    assert_eq!(until(ms(100), Some(ms(60_000)), 0), Some(ms(1_500)));
+    assert_eq!(until(ms(100), None, 0), Some(ms(1_500)));
+    assert_eq!(until(ms(100), None, 256), None);
+    assert_eq!(until(ms(1_500), None, 0), None);
+}
