A server that was only found leaves for good with its goodbye

Cause: a node that has just started finds its server by the health page, which does not tell when the run began. A goodbye as the first word was forgotten as well. Ruled out: calls that wait for the first configuration (the node had been up for 3.7 s). Two tests fail before the change.

--- a/crates/core/src/server_runs.rs
+++ b/crates/core/src/server_runs.rs
@@ -8,6 +8,9 @@
 
 use std::sync::Arc;
 
+/// Start of a run that has not told it: it was found, or said goodbye only.
+const BORN_UNKNOWN: u64 = 0;
+
 /// What a server reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunReport {
@@ -46,6 +49,12 @@
         let Some(held) = &mut self.held else {
             return self.begin(report);
         };
+        // Guards against a report that was held up until after the goodbye of
+        // a run that was only found: taken for the first of another run, it
+        // would bring calls back to a server that ends.
+        if held.born_ms == BORN_UNKNOWN && held.leaving && held.run == report.run {
+            held.born_ms = report.born_ms;
+        }
         let same = held.run == report.run && held.born_ms == report.born_ms;
         if !same {
             // Guards against a report of a run that has crashed meanwhile:
@@ -71,9 +80,23 @@
     /// True where it is the one heard last.
     pub fn leave(&mut self, run: &str, born_ms: Option<u64>) -> bool {
         let Some(held) = &mut self.held else {
+            // Guards against a server found by its health page, or revived by
+            // a report that was held up, after its goodbye was acknowledged.
+            self.held = Some(RunReport {
+                run: run.into(),
+                born_ms: born_ms.unwrap_or(BORN_UNKNOWN),
+                sequence: 0,
+                leaving: true,
+            });
             return false;
         };
-        let same = *held.run == *run && born_ms.is_none_or(|born| born == held.born_ms);
+        if *held.run != *run {
+            return false;
+        }
+        if held.born_ms == BORN_UNKNOWN {
+            held.born_ms = born_ms.unwrap_or(BORN_UNKNOWN);
+        }
+        let same = born_ms.is_none_or(|born| born == held.born_ms);
         held.leaving |= same;
         same
     }
@@ -85,7 +108,7 @@
         if first {
             self.held = Some(RunReport {
                 run: Arc::clone(run),
-                born_ms: 0,
+                born_ms: BORN_UNKNOWN,
                 sequence: 0,
                 leaving: false,
             });
--- a/crates/core/tests/server_runs.rs
+++ b/crates/core/tests/server_runs.rs
@@ -101,3 +101,37 @@
         }
     }
 }
+
+// A node that has just started finds its server by its health page, which
+// does not tell when it began. The server says goodbye before its first
+// report, and one that was held up arrives after. Goodbye was acknowledged,
+// and calls were sent to it for as long as it lived.
+#[test]
+fn a_run_that_was_found_leaves_with_its_goodbye() {
+    for born_ms in [None, Some(100)] {
+        let mut runs = ServerRuns::default();
+        assert!(runs.find(&"i-1".into()));
+        assert!(runs.leave("i-1", born_ms), "{born_ms:?}");
+        let late = runs.hear(report("i-1", 100, 1, false));
+        assert_eq!(late, ReportEffect::Leaves, "{born_ms:?}");
+        let next = runs.hear(report("i-1", 300, 1, false));
+        assert_eq!(next, ReportEffect::Begins, "{born_ms:?}");
+    }
+}
+
+// A goodbye is the first that a node hears after its start. The server is
+// not begun by its health page then, nor by a report that was held up.
+#[test]
+fn a_goodbye_before_anything_else_counts() {
+    let mut runs = ServerRuns::default();
+    runs.leave("i-1", Some(100));
+    assert!(!runs.find(&"i-1".into()));
+    assert_eq!(
+        runs.hear(report("i-1", 100, 1, false)),
+        ReportEffect::Leaves
+    );
+    assert_eq!(
+        runs.hear(report("i-2", 200, 1, false)),
+        ReportEffect::Begins
+    );
+}
