--- a/crates/control/src/operator_desk.rs
+++ b/crates/control/src/operator_desk.rs
@@ -18,7 +18,7 @@
 use cowslip_core::config_digest::ConfigDigest;
 use cowslip_core::control_state::revised;
 use cowslip_core::control_state::ConfigSnapshot;
-use cowslip_core::document::validate;
+use cowslip_core::document::validate_edit;
 use cowslip_core::document::DocumentFault;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::move_board::MoveState;
@@ -269,7 +269,7 @@
 ) -> Result<NumberedRevision, Vec<DocumentFault>> {
     let held = &current.snapshot;
     let target = revised(&held.document, &order.document);
-    let faults = validate(&target);
+    let faults = validate_edit(&held.document, &target);
     if !faults.is_empty() {
         return Err(faults);
     }
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -15,7 +15,7 @@
 use crate::change::ChangeOutcome;
 use crate::change::ConfigChange;
 use crate::change::NumberedRevision;
-use crate::document::validate;
+use crate::document::validate_edit;
 use crate::document::DocumentFault;
 use crate::document::FleetDocument;
 use crate::rollout::rollout_book::RolloutBook;
@@ -277,7 +277,7 @@
             }
         }
     }
-    let faults = validate(&edited);
+    let faults = validate_edit(document, &edited);
     if faults.is_empty() {
         Ok(edited)
     } else {
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -13,6 +13,7 @@
 
 pub use self::bare_document::BareDocument;
 pub use self::validate::validate;
+pub use self::validate::validate_edit;
 pub use self::validate::DocumentFault;
 
 mod bare_document;
--- a/crates/core/src/document/validate.rs
+++ b/crates/core/src/document/validate.rs
@@ -6,6 +6,7 @@
 use std::collections::HashSet;
 use std::fmt;
 use std::ops::RangeInclusive;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,6 +21,10 @@
 /// Whole traffic, in thousandths.
 const WHOLE_PER_MILLE: u16 = 1_000;
 
+/// Changed routes up to which a document is not looked at whole: each is
+/// compared with all others, some microseconds for 1,800.
+const CHANGED_MAX: usize = 16;
+
 /// Timeouts of a route, in milliseconds: up to ten minutes, beyond which a
 /// caller has long gone.
 const TIMEOUT_MS: RangeInclusive<u64> = 1..=600_000;
@@ -49,6 +54,73 @@
     faults.0
 }
 
+/// Finds every fault of `edited`, which was made from `held`, a document
+/// without any.
+///
+/// Load pattern: a control instance starts again and replays some dozens of
+/// changes of a document of 2,300 routes before it can tell any node its
+/// configuration. Looked at whole each time, that took 0.3 s of its 0.075 of
+/// a core. Where few routes differ, only those are looked at here.
+pub fn validate_edit(held: &FleetDocument, edited: &FleetDocument) -> Vec<DocumentFault> {
+    let kept = held
+        .services
+        .keys()
+        .all(|name| edited.services.contains_key(name));
+    let scoped = held.exceptions.is_empty() && edited.exceptions.is_empty();
+    let Some(changed) = changed_routes(held, edited).filter(|_| kept && scoped) else {
+        return validate(edited);
+    };
+    let mut faults = FaultList::default();
+    check_services(edited, &mut faults);
+    check_defaults(edited, &mut faults);
+    for at in changed {
+        check_route(edited, at, &mut faults);
+        let route = &edited.routes[at];
+        let same = edited
+            .routes
+            .iter()
+            .filter(|other| is_same_place(route, other));
+        if same.count() > 1 {
+            // Which of them stands twice is told by the order of all.
+            return validate(edited);
+        }
+    }
+    if faults.0.is_empty() {
+        faults.0
+    } else {
+        validate(edited)
+    }
+}
+
+/// Places of the routes that `held` does not share; `None` where they are
+/// many, or the order has changed.
+fn changed_routes(held: &FleetDocument, edited: &FleetDocument) -> Option<Vec<usize>> {
+    let mut changed = Vec::new();
+    let mut old = held.routes.iter().peekable();
+    for (at, route) in edited.routes.iter().enumerate() {
+        if old.next_if(|old| Arc::ptr_eq(old, route)).is_some() {
+            continue;
+        }
+        // The old one was replaced or removed, or this one was inserted.
+        let mut ahead = old.clone().take(CHANGED_MAX);
+        if let Some(skipped) = ahead.position(|old| Arc::ptr_eq(old, route)) {
+            for _ in 0..=skipped {
+                old.next();
+            }
+            continue;
+        }
+        changed.push(at);
+        if changed.len() > CHANGED_MAX {
+            return None;
+        }
+    }
+    Some(changed)
+}
+
+fn is_same_place(route: &RouteSpec, other: &RouteSpec) -> bool {
+    route.path == other.path && route.host == other.host
+}
+
 #[derive(Default)]
 struct FaultList(Vec<DocumentFault>);
 
@@ -96,20 +168,26 @@
 fn check_routes(document: &FleetDocument, faults: &mut FaultList) {
     let mut seen = HashSet::new();
     for (at, route) in document.routes.iter().enumerate() {
-        check_route_path(at, route, faults);
         if !seen.insert((&route.host, &route.path)) {
             let problem = format!("{:?} stands twice; keep one", route.path);
             faults.push(format!("routes[{at}].path"), problem);
         }
-        for service in route.services() {
-            if document.services.contains_key(service) {
-                continue;
-            }
-            let problem = format!("no service {service:?} in this document");
-            faults.push(format!("routes[{at}].service"), problem);
+        check_route(document, at, faults);
+    }
+}
+
+/// What can be told of a route without the others.
+fn check_route(document: &FleetDocument, at: usize, faults: &mut FaultList) {
+    let route = &document.routes[at];
+    check_route_path(at, route, faults);
+    for service in route.services() {
+        if document.services.contains_key(service) {
+            continue;
         }
-        check_route_terms(at, route, faults);
+        let problem = format!("no service {service:?} in this document");
+        faults.push(format!("routes[{at}].service"), problem);
     }
+    check_route_terms(at, route, faults);
 }
 
 fn check_route_terms(at: usize, route: &RouteSpec, faults: &mut FaultList) {
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -16,7 +16,7 @@
 use crate::control_state::ConfigSnapshot;
 use crate::directory::EndpointDirectory;
 use crate::directory::EndpointRecord;
-use crate::document::validate;
+use crate::document::validate_edit;
 use crate::document::CallPlace;
 use crate::document::CallPriority;
 use crate::document::DocumentFault;
@@ -239,7 +239,7 @@
         if snapshot.version <= self.snapshot.version {
             return Ok(false);
         }
-        let faults = validate(&snapshot.document);
+        let faults = validate_edit(&self.snapshot.document, &snapshot.document);
         if !faults.is_empty() {
             return Err(faults);
         }
