--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -1,9 +1,7 @@
 //! The task that owns the entry side's routing state.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,13 +9,11 @@
 use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::sync::watch;
 
 use cowslip_core::claim::KeyDigest;
 use cowslip_core::claim::ROSTER_LEASE;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
-use cowslip_core::document::FleetDocument;
 use cowslip_core::entry_router::CallHead;
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::entry_router::CallPlan;
@@ -34,13 +30,12 @@
 use cowslip_core::verdict::CallVerdict;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
-use cowslip_wire::http_listener::ListenerTimes;
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
 use crate::gate_task::GateBounds;
 use crate::gate_task::GateMessage;
-use crate::server_check::ServerExpectation;
+use crate::install_hooks::InstallHooks;
 use crate::start_calls::StartCalls;
 
 /// Messages waiting for the task; beyond them calls wait at their sockets.
@@ -153,35 +148,6 @@
     incarnation: u64,
 }
 
-/// What of the node goes by the configuration in force, beside routing.
-pub struct InstallHooks {
-    /// Set once a configuration is in force.
-    pub configured: Rc<Cell<bool>>,
-    /// The backend server that the node is told of.
-    pub expectation: ServerExpectation,
-    /// Times that the callers' listener keeps.
-    pub times: watch::Sender<ListenerTimes>,
-}
-
-impl InstallHooks {
-    fn installed(&self, document: &FleetDocument) {
-        if !self.configured.replace(true) {
-            self.expectation.ask(document);
-        }
-        let own = ListenerTimes::default();
-        let millis = |set: Option<u64>| set.map(Duration::from_millis);
-        let times = ListenerTimes {
-            head: millis(document.limits.head_ms).unwrap_or(own.head),
-            idle: millis(document.limits.idle_ms).unwrap_or(own.idle),
-        };
-        self.times.send_if_modified(|held| {
-            let changed = *held != times;
-            *held = times;
-            changed
-        });
-    }
-}
-
 /// Starts the task.
 pub fn spawn(
     instance: Arc<str>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gate_task;
 pub mod holder_task;
 pub mod hop;
+pub mod install_hooks;
 pub mod keyed_call;
 pub mod local_handler;
 pub mod node_daemon;
--- a/crates/node/tests/start_calls.rs
+++ b/crates/node/tests/start_calls.rs
@@ -24,9 +24,9 @@
 use cowslip_core::version::ConfigVersion;
 use cowslip_node::entry_task;
 use cowslip_node::entry_task::EntryMessage;
-use cowslip_node::entry_task::InstallHooks;
 use cowslip_node::entry_task::OwnedHead;
 use cowslip_node::entry_task::TryAnswer;
+use cowslip_node::install_hooks::InstallHooks;
 use cowslip_node::server_check::ServerExpectation;
 use cowslip_wire::http_listener::ListenerTimes;
 
