A soak outlives its shell, and what it started ends with it

Seen: three soaks ended at the same moment and left 27 processes running. Cause: a paused process in the group of a shell that ends makes the kernel send SIGHUP to the group; the nodes take it for a reload, the soak ended without ending them. Ruled out: a panic (none printed), the machine's memory.

--- a/crates/wire/src/http_listener.rs
+++ b/crates/wire/src/http_listener.rs
@@ -233,7 +233,7 @@
     fn serve(&self, stream: TcpStream) -> Pin<Box<dyn Future<Output = ()> + '_>> {
         let closing = reached(self.staged.clone(), ListenerStage::Closing);
         Box::pin(async move {
-            // A broken connection is its peer's matter, as above.
+            // A broken connection is its peer's matter.
             let _ = ahead_connection::serve(&self.plan, stream, closing).await;
         })
     }
--- a/soak/src/bin/cowslip-soak.rs
+++ b/soak/src/bin/cowslip-soak.rs
@@ -1,11 +1,14 @@
 //! `cowslip-soak`: plays seeds of the fault soak and says what broke.
 
+use std::future::Future;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
 
 use cowslip_soak::soak_error::SoakError;
 use cowslip_soak::soak_run;
@@ -63,7 +66,7 @@
         let files = folder.join(format!("seed-{seed}"));
         std::fs::create_dir_all(&files)?;
         let played = soak_run::play(seed, time, programs, &files);
-        let report = actix_rt::System::new().block_on(played)?;
+        let report = actix_rt::System::new().block_on(until_asked(played))?;
         print(seed, args.seconds, &report);
         if report.broken.is_empty() {
             std::fs::remove_dir_all(&files)?;
@@ -75,6 +78,22 @@
     Ok(held)
 }
 
+/// Plays until the end or a signal. Without this the processes of a soak that
+/// is stopped would run on: they end where their handles are dropped.
+async fn until_asked(
+    played: impl Future<Output = Result<SoakReport, SoakError>>,
+) -> Result<SoakReport, SoakError> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::select! {
+        report = played => report,
+        _ = interrupt.recv() => Err(SoakError::Interrupted),
+        _ = terminate.recv() => Err(SoakError::Interrupted),
+        _ = hangup.recv() => Err(SoakError::Interrupted),
+    }
+}
+
 fn print(seed: u64, seconds: u64, report: &SoakReport) {
     println!(
         "seed {seed}: {} faults, {} calls, {} answered, {} changes, {} broken",
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -51,6 +52,10 @@
             .env("RUST_LOG", "info")
             .stdout(log.try_clone()?)
             .stderr(log)
+            // Guards against the end of the shell that the soak runs under
+            // while a process is paused: the kernel sends SIGHUP to a group
+            // left behind with a stopped member, and the soak would end.
+            .process_group(0)
             .spawn()?;
         self.child = Some(child);
         Ok(())
--- a/soak/src/soak_error.rs
+++ b/soak/src/soak_error.rs
@@ -16,6 +16,9 @@
     /// A program was not built.
     #[error("{0} is not built; run cargo build --release --workspace first")]
     NoProgram(String),
+    /// The soak was asked to stop; its processes have ended with it.
+    #[error("asked to stop")]
+    Interrupted,
     /// The fleet did not come up before any fault.
     #[error("the fleet was not up within {0} s, before any fault")]
     NeverUp(u64),
