--- a/crates/cli/tests/moves.rs
+++ b/crates/cli/tests/moves.rs
@@ -15,6 +15,7 @@
 use cowslip_cli::operator_error::OperatorError;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
+use cowslip_core::document::FleetDocument;
 use cowslip_core::move_board::MoveState;
 use cowslip_core::rollout::rollout_change::MoveChange;
 use cowslip_core::rollout::rollout_change::MoveDue;
@@ -131,6 +132,15 @@
     }
 }
 
+/// Puts the document in force on all nodes, with moves of five seconds.
+async fn begin(operator: &ControlClient, fleet: &LocalFleet, document: FleetDocument) {
+    wait_for_nodes(operator, fleet.nodes.len()).await;
+    change(operator, "apply", ConfigChange::Apply(document)).await;
+    let key = TuningKey::MoveLeastSeconds;
+    let least = ConfigChange::SetDefault { key, value: 5 };
+    change(operator, "least", least).await;
+}
+
 // Two services get new versions at once while callers call. The contract
 // service's is sound and must take over; the records service's fails every
 // call and must be taken back, and get nothing more afterwards.
@@ -155,15 +165,7 @@
     }
     let fleet = Rc::new(fleet);
     let operator = fleet.operator();
-    wait_for_nodes(&operator, fleet.nodes.len()).await;
-    change(&operator, "apply", ConfigChange::Apply(plan.document())).await;
-    let key = TuningKey::MoveLeastSeconds;
-    change(
-        &operator,
-        "least",
-        ConfigChange::SetDefault { key, value: 5 },
-    )
-    .await;
+    begin(&operator, &fleet, plan.document()).await;
     refused(&operator, "none", start("contract", "v3"), "announced").await;
     let stop = Rc::new(Cell::new(false));
     let mut callers = Vec::new();
@@ -218,15 +220,7 @@
     let added = fleet.add_version(&plan, &plan.services[0], "v2").await;
     added.expect("servers of the new version");
     let operator = fleet.operator();
-    wait_for_nodes(&operator, fleet.nodes.len()).await;
-    change(&operator, "apply", ConfigChange::Apply(plan.document())).await;
-    let key = TuningKey::MoveLeastSeconds;
-    change(
-        &operator,
-        "least",
-        ConfigChange::SetDefault { key, value: 5 },
-    )
-    .await;
+    begin(&operator, &fleet, plan.document()).await;
     let rollout = change(&operator, "move", start("contract", "v2")).await;
     let leader = operator
         .ask(&StatusCall {})
--- a/crates/control/src/agreed_metrics.rs
+++ b/crates/control/src/agreed_metrics.rs
@@ -10,6 +10,7 @@
 use cowslip_core::agreement::MemberAnswer;
 use cowslip_core::agreement::MemberRefusal;
 use cowslip_core::change::ChangeOutcome;
+use cowslip_wire::metric_start;
 
 const ACCEPTED: &str = "accepted";
 const CONFLICT: &str = "conflict";
@@ -42,8 +43,18 @@
     /// Counters registered under `cowslip_agreement`; every answer and
     /// reason is there from the start, at zero.
     pub fn new(registry: &mut Registry) -> Self {
-        let metrics = Self::default();
         let registry = registry.sub_registry_with_prefix("cowslip_agreement");
+        let metrics = Self {
+            term: metric_start::gauge(registry, "term", "Highest term seen"),
+            commit: metric_start::gauge(registry, "commit", "Last committed index"),
+            leading: metric_start::gauge(registry, "leading", "1 where it leads"),
+            barred: metric_start::gauge(
+                registry,
+                "barred",
+                "1 where the data folder was found rolled back",
+            ),
+            ..Self::default()
+        };
         registry.register(
             "changes",
             "Answers to operators' changes",
@@ -54,14 +65,6 @@
             "Changes of members refused, by reason",
             metrics.member_refusals.clone(),
         );
-        registry.register("term", "Highest term seen", metrics.term.clone());
-        registry.register("commit", "Last committed index", metrics.commit.clone());
-        registry.register("leading", "1 where it leads", metrics.leading.clone());
-        registry.register(
-            "barred",
-            "1 where the data folder was found rolled back",
-            metrics.barred.clone(),
-        );
         for answer in [ACCEPTED, CONFLICT, INVALID, NOT_LEADING, UNKNOWN] {
             drop(metrics.changes.get_or_create(&AnswerLabel { answer }));
         }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -4,7 +4,6 @@
 use std::process::exit;
 
 use bpaf::Bpaf;
-use log::info;
 
 use cowslip_control::control_daemon::ControlDaemon;
 use cowslip_control::control_daemon::ControlSockets;
@@ -13,6 +12,7 @@
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
 use cowslip_wire::settings_watch;
+use cowslip_wire::stop_signal;
 
 /// Runs a control instance of cowslipwall.
 ///
@@ -52,14 +52,6 @@
     let daemon = ControlDaemon::spawn(settings, sockets)?;
     let reload = async |changed: ControlSettings| daemon.reload(&changed).await;
     settings_watch::until_stopped(path, reload).await?;
-    info!(
-        "event=stopping process=control instance={}",
-        settings.instance
-    );
-    let whole = daemon.stop().await;
-    info!(
-        "event=stopped process=control instance={} whole={whole}",
-        settings.instance
-    );
+    stop_signal::stop("control", &settings.instance, daemon.stop()).await;
     Ok(())
 }
--- a/crates/node/src/call_metrics.rs
+++ b/crates/node/src/call_metrics.rs
@@ -9,6 +9,7 @@
 
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::refusal::RetryReason;
+use cowslip_wire::metric_start;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReasonLabel {
@@ -27,14 +28,13 @@
     /// Counters registered under `side`, `entry` or `server`. Every reason
     /// is there from the start, at zero.
     pub fn new(registry: &mut Registry, side: &str) -> Self {
-        let answered = Counter::default();
         let refusals = Family::<ReasonLabel, Counter>::default();
         let retries = Family::<ReasonLabel, Counter>::default();
         let registry = registry.sub_registry_with_prefix(format!("cowslip_{side}"));
-        registry.register(
+        let answered = metric_start::counter(
+            registry,
             "answered",
             "Calls that a backend server answered",
-            answered.clone(),
         );
         registry.register("refused", "Calls not served, by reason", refusals.clone());
         registry.register("retried", "Further tries, by reason", retries.clone());
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -175,23 +175,26 @@
 
 impl EntryTask {
     async fn run(mut self, mut receiver: mpsc::Receiver<EntryMessage>) {
-        loop {
-            if !self.waiting.is_empty() {
-                self.waiting.refuse_late(self.started.elapsed());
-            }
-            let message = tokio::select! {
-                message = receiver.recv() => message,
-                () = actix_rt::time::sleep(START_TICK), if !self.waiting.is_empty() => {
-                    continue;
-                }
-            };
-            let Some(message) = message else {
-                return;
-            };
+        while let Some(message) = self.next(&mut receiver).await {
             self.take(message);
         }
     }
 
+    /// The next message; calls whose wait ends before it comes are refused.
+    async fn next(
+        &mut self,
+        receiver: &mut mpsc::Receiver<EntryMessage>,
+    ) -> Option<EntryMessage> {
+        while !self.waiting.is_empty() {
+            self.waiting.refuse_late(self.started.elapsed());
+            let next = actix_rt::time::timeout(START_TICK, receiver.recv()).await;
+            if let Ok(message) = next {
+                return message;
+            }
+        }
+        receiver.recv().await
+    }
+
     fn take(&mut self, message: EntryMessage) {
         match message {
             EntryMessage::Admit(head, reply) => {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,6 @@
 use std::process::exit;
 
 use bpaf::Bpaf;
-use log::info;
 
 use cowslip_node::node_daemon::NodeDaemon;
 use cowslip_node::node_daemon::NodeSockets;
@@ -13,6 +12,7 @@
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
 use cowslip_wire::settings_watch;
+use cowslip_wire::stop_signal;
 
 /// Runs the node beside a backend server.
 ///
@@ -50,11 +50,6 @@
     let daemon = NodeDaemon::spawn(settings, sockets, seed)?;
     let reload = async |changed: NodeSettings| daemon.reload(&changed);
     settings_watch::until_stopped(path, reload).await?;
-    info!("event=stopping process=node instance={}", settings.instance);
-    let whole = daemon.stop().await;
-    info!(
-        "event=stopped process=node instance={} whole={whole}",
-        settings.instance
-    );
+    stop_signal::stop("node", &settings.instance, daemon.stop()).await;
     Ok(())
 }
--- a/crates/wire/src/stop_signal.rs
+++ b/crates/wire/src/stop_signal.rs
@@ -1,7 +1,9 @@
-//! Waits for the signal of a planned stop.
+//! Waits for the signal of a planned stop, and tells of the stop.
 
+use std::future::Future;
 use std::io;
 
+use log::info;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
@@ -24,3 +26,10 @@
 pub async fn wait() -> io::Result<()> {
     wait_and(|| {}).await
 }
+
+/// Carries out the planned stop of a process of this kind, and says so.
+pub async fn stop(process: &str, instance: &str, stopping: impl Future<Output = bool>) {
+    info!("event=stopping process={process} instance={instance}");
+    let whole = stopping.await;
+    info!("event=stopped process={process} instance={instance} whole={whole}");
+}
--- a/soak/src/bin/cowslip-soak.rs
+++ b/soak/src/bin/cowslip-soak.rs
@@ -13,6 +13,7 @@
 use cowslip_soak::soak_error::SoakError;
 use cowslip_soak::soak_run;
 use cowslip_soak::soak_run::SoakReport;
+use cowslip_wire::stop_signal;
 
 const USAGE: &str = "Plays random faults on real processes and checks what callers see";
 
@@ -83,13 +84,13 @@
 async fn until_asked(
     played: impl Future<Output = Result<SoakReport, SoakError>>,
 ) -> Result<SoakReport, SoakError> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     tokio::select! {
         report = played => report,
-        _ = interrupt.recv() => Err(SoakError::Interrupted),
-        _ = terminate.recv() => Err(SoakError::Interrupted),
+        asked = stop_signal::wait() => Err(asked.map_or_else(
+            SoakError::from,
+            |()| SoakError::Interrupted,
+        )),
         _ = hangup.recv() => Err(SoakError::Interrupted),
     }
 }
