--- a/crates/core/tests/rollout_study.rs
+++ b/crates/core/tests/rollout_study.rs
@@ -70,7 +70,7 @@
         Behaviour::GoodInTrouble,
         Behaviour::GoodInLateTrouble,
     ];
-    assert_share(&outcomes(&good, 9), |case, outcome| {
+    assert_share(&outcomes(&good, 12), |case, outcome| {
         let due = Duration::from_secs(case.window_s);
         outcome.done_after.is_some_and(|at| at <= due)
     });
