Bodies of callers are read in large parts

An strace of it shows 139,205 reads of 64 bytes and 120,296 writes: the callers' listener reads into a buffer without room, which the library grows by 64 bytes at a time, and each part is a write of its own on the way on. 20 calls of 2 MB took up to their 10 s. Ruled out: a stall (the process is busy throughout), the busy machine (it fails alone), the planned stop itself. Change: room is made before a read, once there is something to read, so that idle connections hold no buffer; a head and the body that is there leave in one write.

--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -24,7 +24,6 @@
 use log::info;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
@@ -34,6 +33,9 @@
 
 use cowslip_core::connection_care::PoolGeneration;
 use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::read_room::read_ready;
+use cowslip_wire::read_room::BODY_ROOM;
+use cowslip_wire::read_room::HEAD_ROOM;
 
 use crate::call_forward::CallBody;
 use crate::hop::hop_request::HopRequest;
@@ -227,7 +229,8 @@
                     }
                 }
             }
-            let read = self.stream.read_buf(&mut self.received).await;
+            let (mut reader, _) = self.stream.split();
+            let read = read_ready(&mut reader, &mut self.received, BODY_ROOM).await;
             if read.map_err(PayloadError::Io)? > 0 {
                 continue;
             }
@@ -371,15 +374,16 @@
         if let Some(head) = decoded {
             return Ok(head);
         }
-        read_more(reader, received).await?;
+        read_more(reader, received, HEAD_ROOM).await?;
     }
 }
 
 async fn read_more(
     reader: &mut ReadHalf<'_>,
     received: &mut BytesMut,
+    room: usize,
 ) -> Result<(), ExchangeError> {
-    if reader.read_buf(received).await? == 0 {
+    if read_ready(reader, received, room).await? == 0 {
         let problem = "the connection ended before an answer";
         return Err(ExchangeError::Broken(problem.to_owned()));
     }
@@ -403,7 +407,7 @@
         match decoded {
             Some(None) => break,
             Some(Some(_)) => {}
-            None => read_more(reader, received).await?,
+            None => read_more(reader, received, BODY_ROOM).await?,
         }
     }
     *codec = payload.into_message_codec();
--- a/crates/wire/src/ahead_connection.rs
+++ b/crates/wire/src/ahead_connection.rs
@@ -35,6 +35,9 @@
 use crate::boot_instant::BootInstant;
 use crate::http_listener::CountedHandler;
 use crate::http_listener::ListenerTimes;
+use crate::read_room::read_ready;
+use crate::read_room::BODY_ROOM;
+use crate::read_room::HEAD_ROOM;
 
 mod ahead_exchange;
 
@@ -230,6 +233,10 @@
     fn answered(&mut self, end: bool) {
         self.done |= end;
         self.quiet_since = BootInstant::now();
+        // An idle connection holds no buffer.
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
     }
 
     /// Waits for the next thing to happen; false where the caller has left.
@@ -238,6 +245,10 @@
         let room = self.input.len() < INPUT_MAX;
         let writes = !self.output.is_empty();
         let produces = self.answering.is_some() && self.output.len() < OUTPUT_MAX;
+        let read_room = match &self.feed {
+            Some(_) => BODY_ROOM,
+            None => HEAD_ROOM,
+        };
         let Self {
             reader,
             writer,
@@ -249,16 +260,22 @@
             ..
         } = self;
         tokio::select! {
-            read = reader.read_buf(input), if room => {
-                return self.took(read?);
+            // In this order, so that a head and the body that is there leave
+            // in one write, and not in one each.
+            biased;
+            part = next_part(answering), if produces => {
+                return self.take_part(part);
             }
             wrote = writer.write_buf(output), if writes => {
                 if wrote? == 0 {
                     return Ok(false);
                 }
+                if output.is_empty() {
+                    *output = BytesMut::new();
+                }
             }
-            part = next_part(answering), if produces => {
-                return self.take_part(part);
+            read = read_ready(reader, input, read_room), if room => {
+                return self.took(read?);
             }
             () = room_in(feed) => {}
             () = any_ready(exchanges) => {}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peer_client;
 pub mod plain_client;
 pub mod process_log;
+pub mod read_room;
 pub mod settings_file;
 pub mod settings_node;
 pub mod settings_reader;
--- a/crates/wire/tests/ahead_connection.rs
+++ b/crates/wire/tests/ahead_connection.rs
@@ -11,6 +11,7 @@
 use actix_http::Request;
 use actix_http::StatusCode;
 use actix_rt::System;
+use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -328,3 +329,44 @@
         }
     });
 }
+
+/// Answers with the number of parts in which a request's body came.
+struct PartsHandler;
+
+impl HttpHandler for PartsHandler {
+    fn handle(&self, mut request: Request) -> ReplyFuture {
+        Box::pin(async move {
+            let mut payload = request.take_payload();
+            let mut parts = 0;
+            while let Some(Ok(_)) = payload.next().await {
+                parts += 1;
+            }
+            http_reply::text(StatusCode::OK, format!("/{parts}"))
+        })
+    }
+}
+
+// A clerk registers sales of a megabyte of paperwork. Handed on 64 bytes at a
+// time, each part is a read here and a write to the next node, and the node's
+// processor is spent on system calls.
+#[test]
+fn a_large_body_is_read_in_large_parts() {
+    System::new().block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let socket = std::net::TcpListener::bind(any).unwrap();
+        let (_, times) = watch::channel(usual());
+        let handler = Rc::new(PartsHandler);
+        let listener = HttpListener::spawn_ahead(socket, 1, handler, times).unwrap();
+        let mut caller = TcpStream::connect(listener.address()).await.unwrap();
+        let body = vec![b's'; 1024 * 1024];
+        let head = format!(
+            "POST /sale HTTP/1.1\r\nhost: a.example\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let request = [head.into_bytes(), body].concat();
+        caller.write_all(&request).await.unwrap();
+        let text = answers(&mut caller, 1).await;
+        let parts = paths(&text)[0].trim_start_matches('/').parse::<u32>();
+        assert!(parts.clone().is_ok_and(|parts| parts <= 256), "{parts:?}");
+    });
+}
