--- a/crates/core/src/snapshot_chunks.rs
+++ b/crates/core/src/snapshot_chunks.rs
@@ -1,11 +1,22 @@
-//! Whole snapshots in chunks, each with its digest.
+//! Whole snapshots, compressed and in chunks, each with its digest.
 //!
 //! A snapshot of the two-year size is some hundred kilobytes. In one piece,
 //! a thin or lossy link that breaks once would start over for ever; in
 //! chunks it goes on where it was, also from another source, because every
 //! source encodes the same version to the same bytes.
+//!
+//! Load pattern: a change that adds a thousand routes goes to every node at
+//! once. Its chunks follow one another, and an instance with 0.075 of a core
+//! takes 10 ms for each: 316 KB reached the last of 23 nodes after 1.4 to
+//! 2.9 s. Routes resemble each other, so that compressed it is one chunk.
+
+use std::io::Read;
+use std::io::Write;
 
 use bytes::Bytes;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use flate2::Compression;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -31,6 +42,8 @@
     pub digest: ConfigDigest,
     /// Length of all chunks together.
     pub bytes: u32,
+    /// Length of the snapshot once it is decompressed.
+    pub unpacked: u32,
     /// Digest of each chunk, in order.
     pub chunks: Vec<u64>,
 }
@@ -46,7 +59,8 @@
     /// Encodes the snapshot, whose document has `digest`.
     pub fn new(snapshot: &ConfigSnapshot, digest: ConfigDigest) -> Self {
         // Writing to memory cannot fail and every map key is a string.
-        let encoded = rmp_serde::to_vec_named(snapshot).unwrap_or_default();
+        let whole = rmp_serde::to_vec_named(snapshot).unwrap_or_default();
+        let encoded = compressed(&whole);
         let mut chunks = Vec::new();
         for chunk in encoded.chunks(CHUNK_BYTES) {
             chunks.push(ConfigDigest::of_bytes(chunk).short());
@@ -55,6 +69,7 @@
             version: snapshot.version,
             digest,
             bytes: encoded.len() as u32,
+            unpacked: whole.len() as u32,
             chunks,
         };
         Self {
@@ -79,6 +94,15 @@
     }
 }
 
+/// The fastest level: a document of 1,500 routes shrinks to a tenth at any.
+fn compressed(whole: &[u8]) -> Vec<u8> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    // Writing to memory cannot fail; an empty snapshot would not decode, and
+    // its receiver would ask elsewhere.
+    let written = encoder.write_all(whole);
+    written.and_then(|()| encoder.finish()).unwrap_or_default()
+}
+
 /// Chunks that do not make the snapshot of their header.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ChunkError {
@@ -116,7 +140,8 @@
     /// Begins with the header; memory grows only with checked chunks.
     pub fn new(header: SnapshotHeader) -> Result<Self, ChunkError> {
         let expected = (header.bytes as usize).div_ceil(CHUNK_BYTES);
-        if header.bytes > SNAPSHOT_BYTES_MAX || header.chunks.len() != expected {
+        let large = header.bytes.max(header.unpacked) > SNAPSHOT_BYTES_MAX;
+        if large || header.chunks.len() != expected {
             return Err(ChunkError::BadHeader {
                 bytes: header.bytes,
                 chunks: header.chunks.len(),
@@ -154,7 +179,8 @@
 
     /// The snapshot, once all chunks are there.
     pub fn finish(&self) -> Result<ConfigSnapshot, ChunkError> {
-        let decoded: Result<ConfigSnapshot, _> = rmp_serde::from_slice(&self.gathered);
+        let whole = self.unpacked()?;
+        let decoded: Result<ConfigSnapshot, _> = rmp_serde::from_slice(&whole);
         let snapshot = decoded.map_err(|e| ChunkError::Undecodable(e.to_string()))?;
         let digest = ConfigDigest::of_document(&snapshot.document);
         if snapshot.version != self.header.version || digest != self.header.digest {
@@ -162,4 +188,21 @@
         }
         Ok(snapshot)
     }
+
+    /// The snapshot as it was encoded.
+    fn unpacked(&self) -> Result<Vec<u8>, ChunkError> {
+        let stated = self.header.unpacked as usize;
+        let mut whole = Vec::with_capacity(stated);
+        // Guards against a header that states little for bytes that grow
+        // without end: a node would run out of memory.
+        let bound = u64::from(self.header.unpacked) + 1;
+        let mut reader = DeflateDecoder::new(&self.gathered[..]).take(bound);
+        let read = reader.read_to_end(&mut whole);
+        read.map_err(|error| ChunkError::Undecodable(error.to_string()))?;
+        if whole.len() != stated {
+            let problem = format!("{} bytes in place of {stated}", whole.len());
+            return Err(ChunkError::Undecodable(problem));
+        }
+        Ok(whole)
+    }
 }
--- a/crates/core/tests/config_delta.rs
+++ b/crates/core/tests/config_delta.rs
@@ -23,6 +23,7 @@
 use cowslip_core::snapshot_chunks::ChunkAssembly;
 use cowslip_core::snapshot_chunks::ChunkError;
 use cowslip_core::snapshot_chunks::ChunkedSnapshot;
+use cowslip_core::snapshot_chunks::CHUNK_BYTES;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::tuning::TuningTable;
 use cowslip_core::version::ConfigVersion;
@@ -217,7 +218,13 @@
 // before it are kept, and the snapshot comes out whole from another source.
 #[test]
 fn a_damaged_chunk_is_fetched_again() {
-    let whole = snapshot(7, large(4_000));
+    // Paths that no compression shortens, so that there are several chunks.
+    let mut document = large(8_000);
+    for (at, route) in document.routes.iter_mut().enumerate() {
+        let path = ConfigDigest::of_bytes(&at.to_be_bytes());
+        Arc::make_mut(route).path = format!("/{path:?}").into();
+    }
+    let whole = snapshot(7, document);
     let digest = ConfigDigest::of_document(&whole.document);
     let first = ChunkedSnapshot::new(&whole, digest);
     let second = ChunkedSnapshot::new(&whole, digest);
@@ -261,3 +268,45 @@
         assert_eq!(rest.version, history.current().version);
     }
 }
+
+// An operator adds a thousand routes at once. Every node fetches the whole
+// document chunk by chunk, and a small control instance needs 10 ms for each:
+// in five chunks the last nodes route by the old document for three seconds.
+#[test]
+fn a_large_document_travels_in_one_chunk() {
+    let whole = snapshot(7, large(1_800));
+    let digest = ConfigDigest::of_document(&whole.document);
+    let packed = ChunkedSnapshot::new(&whole, digest);
+    assert_eq!(packed.header().chunks.len(), 1);
+    assert!(packed.header().unpacked > 2 * CHUNK_BYTES as u32);
+    let mut assembly = ChunkAssembly::new(packed.header().clone()).expect("a header");
+    let chunk = packed.chunk(0).expect("a chunk");
+    assembly.take(&chunk).expect("the right chunk");
+    assert_eq!(assembly.finish(), Ok(whole));
+}
+
+// A source states a small document for bytes that decompress to a large one,
+// or a large one for a small one. Neither is taken.
+#[test]
+fn a_wrong_length_is_refused() {
+    let whole = snapshot(7, large(100));
+    let digest = ConfigDigest::of_document(&whole.document);
+    let packed = ChunkedSnapshot::new(&whole, digest);
+    for unpacked in [
+        0,
+        packed.header().unpacked - 1,
+        packed.header().unpacked + 1,
+    ] {
+        let mut header = packed.header().clone();
+        header.unpacked = unpacked;
+        let mut assembly = ChunkAssembly::new(header).expect("a header");
+        let chunk = packed.chunk(0).expect("a chunk");
+        assembly.take(&chunk).expect("the right chunk");
+        let refused = assembly.finish();
+        assert!(matches!(refused, Err(ChunkError::Undecodable(_))));
+    }
+    let mut header = packed.header().clone();
+    header.unpacked = u32::MAX;
+    let refused = ChunkAssembly::new(header).err();
+    assert!(matches!(refused, Some(ChunkError::BadHeader { .. })));
+}
