A fleet that starts again with a lost disk elects at once

The voter whose folder is gone can be asked for nothing, so not every voter is known to be idle, and the others wait for leases that nobody holds. Change: a voter that greets with another folder than it votes by counts as idle, since what it led or granted ended with its process; greetings count until a leader is heard. Tests: a_fleet_that_starts_again_with_a_lost_disk_has_a_leader_soon (fails without), a_lost_disk_does_not_end_the_leaders_lease (400 fleets, holds before and after).

--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -140,8 +140,9 @@
             self.campaign(now, VoteGround::default());
             return;
         }
-        let members = self.log.members();
-        let all_idle = members.voters().all(|voter| votes.idle.contains(voter));
+        let is_idle =
+            |voter: &Arc<str>| votes.idle.contains(voter) || self.has_lost_folder(voter);
+        let all_idle = self.log.members().voters().all(is_idle);
         if all_idle && now < self.quiet_until {
             let ground = VoteGround {
                 all_idle,
@@ -151,6 +152,23 @@
         }
     }
 
+    /// True where `voter` has come back with another folder than it votes by
+    /// since this member started: whatever it led or granted before ended
+    /// with that process. It is idle and has no vote. Without this a fleet
+    /// that starts again with one lost disk waits half a second for leases
+    /// that nobody holds.
+    ///
+    /// Once a leader is heard greetings say nothing any more: the list may
+    /// name a folder that is newer than the greeting.
+    fn has_lost_folder(&self, voter: &str) -> bool {
+        let record = self.log.members().get(voter);
+        let greeting = self.greetings.get(voter);
+        let (Some(record), Some(greeting)) = (record, greeting) else {
+            return false;
+        };
+        self.leader_heard.is_none() && record.folder != greeting.folder
+    }
+
     /// Raises the term and asks for votes in it.
     fn campaign(&mut self, now: Duration, ground: VoteGround) {
         let own = Arc::clone(&self.identity.instance);
--- a/crates/core/src/agreement/founding.rs
+++ b/crates/core/src/agreement/founding.rs
@@ -41,6 +41,17 @@
     pub(super) at: Duration,
 }
 
+impl Greeting {
+    fn of(at: Duration, message: &MemberMessage, fresh: bool) -> Self {
+        Self {
+            address: message.address,
+            folder: message.folder,
+            fresh,
+            at,
+        }
+    }
+}
+
 impl AgreementMember {
     /// Greets where there is nobody to follow, and founds where all are
     /// there.
@@ -87,18 +98,7 @@
         message: &MemberMessage,
         fresh: bool,
     ) {
-        self.greetings
-            .retain(|_, greeting| now < greeting.at + GREETING_FRESH);
-        let known = self.greetings.contains_key(&message.from);
-        if known || self.greetings.len() < GREETINGS_MAX {
-            let greeting = Greeting {
-                address: message.address,
-                folder: message.folder,
-                fresh,
-                at: now,
-            };
-            self.greetings.insert(Arc::clone(&message.from), greeting);
-        }
+        self.note_greeting(now, message, fresh);
         let fresh = self.is_unfounded();
         if fresh && self.greetings.contains_key(&message.from) {
             let founder = Arc::clone(&message.from);
@@ -112,28 +112,39 @@
         self.answer(message, body);
     }
 
+    fn note_greeting(&mut self, now: Duration, message: &MemberMessage, fresh: bool) {
+        self.greetings
+            .retain(|_, greeting| now < greeting.at + GREETING_FRESH);
+        let known = self.greetings.contains_key(&message.from);
+        if known || self.greetings.len() < GREETINGS_MAX {
+            let greeting = Greeting::of(now, message, fresh);
+            self.greetings.insert(Arc::clone(&message.from), greeting);
+        }
+    }
+
     pub(super) fn take_hello_answer(&mut self, now: Duration, message: MemberMessage) {
         let MessageBody::HelloAnswer {
             leader,
             fresh,
             greeted,
-        } = message.body
+        } = &message.body
         else {
             return;
         };
         if let Some(leader) = leader {
-            self.hint = Some((leader, now));
+            self.hint = Some((leader.clone(), now));
         }
-        let founder = self.founders.iter().any(|(name, _)| *name == message.from);
-        if greeted != self.identity.start || !founder {
+        if *greeted != self.identity.start {
             return;
         }
-        let greeting = Greeting {
-            address: message.address,
-            folder: message.folder,
-            fresh,
-            at: now,
-        };
+        // An instance that lost its folder tells it here as well: its own
+        // greeting may have been sent before this one listened.
+        self.note_greeting(now, &message, *fresh);
+        if !self.founders.iter().any(|(name, _)| *name == message.from) {
+            return;
+        }
+        let fresh = *fresh;
+        let greeting = Greeting::of(now, &message, fresh);
         self.founding_answers.insert(message.from, greeting);
         self.try_found(now);
     }
--- a/crates/core/tests/agreement/failures.rs
+++ b/crates/core/tests/agreement/failures.rs
@@ -560,6 +560,70 @@
     }
 }
 
+// The same, and one instance comes back without its disk. It can be asked for
+// nothing, but it says that it is new: what it led or granted is forgotten with
+// the process that knew of it, and there is nothing to wait for either.
+#[test]
+fn a_fleet_that_starts_again_with_a_lost_disk_has_a_leader_soon() {
+    for voters in [3, 5] {
+        let mut waits = Vec::new();
+        for seed in 0..40 {
+            let mut fleet = Fleet::joining(voters, 0, voters, seed);
+            fleet.settle();
+            fleet.decide(&change("before", None));
+            fleet.run(Duration::from_secs(1));
+            for at in 1..voters {
+                fleet.crash(at);
+            }
+            fleet.wipe(0);
+            fleet.run(Duration::from_millis(650));
+            for at in 0..voters {
+                fleet.start(at);
+            }
+            let started = fleet.now;
+            fleet.settle();
+            waits.push(fleet.now - started);
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+        waits.sort();
+        let usual = waits[20];
+        assert!(usual < Duration::from_millis(450), "{voters}: {waits:?}");
+    }
+}
+
+// A voter loses its disk and starts again, and so does another one with its
+// disk, while the leader runs on and is cut off. The voter without a disk is
+// idle, but the leader is not: its lease must have ended before anybody leads.
+#[test]
+fn a_lost_disk_does_not_end_the_leaders_lease() {
+    for voters in [3, 5] {
+        for seed in 0..200 {
+            let mut fleet = Fleet::joining(voters, 0, voters, seed);
+            let leader = fleet.settle();
+            fleet.decide(&change("before", None));
+            if !fleet.leading().contains(&leader) {
+                continue;
+            }
+            let followers = others(&fleet, leader);
+            fleet.wipe(followers[0]);
+            for at in &followers[1..] {
+                fleet.crash(*at);
+            }
+            for at in &followers {
+                fleet.start(*at);
+            }
+            fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
+            fleet.groups[leader] = 1;
+            fleet.run(Duration::from_secs(2));
+            fleet.heal();
+            fleet.settle();
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+    }
+}
+
 // All followers crash and start again within a few milliseconds, while their
 // leader runs on and answers as fresh under the lease that they granted and
 // forgot. They find each other idle at once. Did they not wait for the leader,
