Refused callers are told a time that they have

Cause: a refused caller was told to come back after 1 to 5 s, also where its call is over in one; on the users' platform callers wait a third of their time at most, and came back when their answers were late. Change: where callers read fractions and say how long they wait, the span is a quarter of that; a server that refused with room is tried again within 120 ms. Whole seconds are told as before. Before and after in the tests: 1 to 5 s for a caller with one second left, at most a third of it now. Not yet measured on the platform. Tests: a_caller_is_told_a_time_that_it_has, whoever_was_turned_away_at_random_comes_back_soon. Tests of the old span have CallerTime::default() as their caller, and assert the same.

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -468,6 +468,10 @@
         let costs = failure.reached_server() || evidence == ServerEvidence::Full;
         if costs && !pressure.budget.spend() {
             return NextStep::Refuse(match plan.verdict {
+                // Its caller may come back sooner than to a full service.
+                CallVerdict::NotRun if failure.reason == RefusalReason::ServerRefused => {
+                    failure.reason
+                }
                 CallVerdict::NotRun => RefusalReason::RetryBudget,
                 // The caller must read what happened to a request that
                 // may have run in this or an earlier try.
--- a/crates/core/tests/load_patterns/fake_fleet.rs
+++ b/crates/core/tests/load_patterns/fake_fleet.rs
@@ -29,6 +29,7 @@
 use cowslip_core::load::deadline_budget;
 use cowslip_core::load::queue_order::QueueOrder;
 use cowslip_core::load::retry_advice;
+use cowslip_core::load::retry_advice::CallerTime;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
@@ -538,7 +539,10 @@
             return self.finish(call, Some(reason), 0);
         }
         let after = match self.plan.side {
-            Side::Real => retry_advice::retry_after(reason, &mut self.rng),
+            Side::Real => {
+                let caller = CallerTime::default();
+                retry_advice::retry_after(reason, caller, &mut self.rng)
+            }
             Side::Naive(_) => None,
         };
         let after = after.unwrap_or(Duration::from_millis(50));
--- a/crates/core/tests/load_servers.rs
+++ b/crates/core/tests/load_servers.rs
@@ -18,6 +18,7 @@
 use cowslip_core::load::fair_tags::FairTags;
 use cowslip_core::load::fleet_servers::FleetServers;
 use cowslip_core::load::retry_advice;
+use cowslip_core::load::retry_advice::CallerTime;
 use cowslip_core::load::retry_budget::BudgetTerms;
 use cowslip_core::load::retry_budget::RetryBudget;
 use cowslip_core::load::server_pool::ChoiceNeed;
@@ -276,7 +277,7 @@
         if !matches!(reason.status(), 429 | 503) {
             continue;
         }
-        let after = retry_advice::retry_after(*reason, &mut rng);
+        let after = retry_advice::retry_after(*reason, CallerTime::default(), &mut rng);
         assert!(after.is_some(), "{reason} gives no time");
     }
 }
@@ -288,7 +289,8 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let mut seconds: BTreeMap<u64, u32> = BTreeMap::new();
     for _ in 0..1_000 {
-        let after = retry_advice::retry_after(RefusalReason::QueueFull, &mut rng);
+        let full = RefusalReason::QueueFull;
+        let after = retry_advice::retry_after(full, CallerTime::default(), &mut rng);
         *seconds
             .entry(after.expect("worth it").as_secs())
             .or_default() += 1;
@@ -296,11 +298,54 @@
     assert!(seconds.len() >= 4);
     assert!(seconds.values().all(|callers| *callers < 350));
     assert_eq!(
-        retry_advice::retry_after(RefusalReason::NoRoute, &mut rng),
+        retry_advice::retry_after(
+            RefusalReason::NoRoute,
+            CallerTime::default(),
+            &mut rng
+        ),
         None
     );
 }
 
+// A clerk's call is over in a second. Told to come back after one to five, it
+// returns when nobody waits for its answer any more; and callers who do not say
+// how long they wait are told as before.
+#[test]
+fn a_caller_is_told_a_time_that_it_has() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for left in [millis(200), millis(1_000), millis(4_000)] {
+        let caller = CallerTime {
+            left: Some(left),
+            fractions: true,
+        };
+        let mut longest = Duration::ZERO;
+        for _ in 0..200 {
+            let full = RefusalReason::QueueFull;
+            let after = retry_advice::retry_after(full, caller, &mut rng);
+            longest = longest.max(after.expect("worth it"));
+        }
+        assert!(longest <= left / 3, "{longest:?} of {left:?}");
+        assert!(longest >= left / 8, "all come back within {longest:?}");
+    }
+}
+
+// All servers of a service turn half of the calls away, with slots free. Each
+// of a caller's tries is taken with even chances, so that the next one soon is
+// better than one when its answer is late.
+#[test]
+fn whoever_was_turned_away_at_random_comes_back_soon() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let caller = CallerTime {
+        left: Some(millis(4_000)),
+        fractions: true,
+    };
+    for _ in 0..200 {
+        let refused = RefusalReason::ServerRefused;
+        let after = retry_advice::retry_after(refused, caller, &mut rng);
+        assert!(after.is_some_and(|after| after <= millis(120)), "{after:?}");
+    }
+}
+
 // Seventy nodes are allowed 40 retries at once between them. Each saving up
 // ten of its own, they would send 700 after the loss of one server.
 #[test]
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -22,6 +22,7 @@
 use cowslip_core::entry_router::TryReport;
 use cowslip_core::load::deadline_budget;
 use cowslip_core::load::retry_advice;
+use cowslip_core::load::retry_advice::CallerTime;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::rollout::evidence::MeasuredTry;
 use cowslip_core::rollout::evidence::TryEnd;
@@ -130,15 +131,24 @@
     }
 }
 
-/// The answer to a call that is not served.
-pub fn refusal_reply(refusal: CallRefusal, dialect: &CallDialect) -> HttpReply {
+/// The answer to a call that is not served, whose caller has `left`, if it
+/// says so.
+pub fn refusal_reply(
+    refusal: CallRefusal,
+    dialect: &CallDialect,
+    left: Option<Duration>,
+) -> HttpReply {
     let status = StatusCode::from_u16(refusal.reason.status_for(refusal.verdict));
     let status = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let mut reply = http_reply::text(status, refusal.reason.as_str());
     http_reply::set_header(&mut reply, call_headers::VERDICT, refusal.verdict.as_str());
     http_reply::set_header(&mut reply, call_headers::REASON, refusal.reason.as_str());
     let later = matches!(status.as_u16(), 429 | 503);
-    let after = retry_advice::retry_after(refusal.reason, &mut rand::rng());
+    let caller = CallerTime {
+        left,
+        fractions: dialect.fractions,
+    };
+    let after = retry_advice::retry_after(refusal.reason, caller, &mut rand::rng());
     if let Some(after) = after.filter(|_| later) {
         let seconds = if dialect.fractions {
             format!("{:.2}", after.as_secs_f64())
@@ -167,6 +177,11 @@
         stopping: bool,
     ) -> HttpReply {
         let id = LoggedId::of(&request, &self.dialect.request_id);
+        let began = BootInstant::now();
+        // One that cannot be read is refused below.
+        let named = &self.dialect.deadline_ms;
+        let given = call_headers::deadline_in(request.headers(), named);
+        let given = given.ok().flatten();
         match self.call(request, &id, origin, stopping).await {
             Ok(reply) => {
                 self.metrics.answered();
@@ -175,7 +190,8 @@
             Err(refusal) => {
                 self.metrics.refused(refusal.reason);
                 self.log.refused(&id, refusal.reason, refusal.verdict);
-                refusal_reply(refusal, &self.dialect)
+                let left = given.map(|given| given.saturating_sub(began.elapsed()));
+                refusal_reply(refusal, &self.dialect, left)
             }
         }
     }
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -123,7 +123,7 @@
                     reason: failure.reason,
                     verdict: failure.verdict,
                 };
-                refusal_reply(refusal, &self.dialect)
+                refusal_reply(refusal, &self.dialect, None)
             }
         };
         let wait_ms = self.view.wait().as_millis().to_string();
