A starting node asks soon after its sources are up

Ruled out: the admission of reconnecting nodes (50 a second an instance, 3 ask). Change: a node that holds nothing waits half of its wait for news at most, 200 ms there. On the platform: not yet measured. Test: a_starting_node_asks_soon_after_its_sources_are_up.

--- a/crates/core/src/reconnect_backoff.rs
+++ b/crates/core/src/reconnect_backoff.rs
@@ -58,6 +58,16 @@
         wait
     }
 
+    /// The same for a follower that starts and holds nothing: `longest` at most.
+    ///
+    /// Guards against a node that asks while all sources start as well, and
+    /// waits longer than any of them needs: it serves nobody until it has
+    /// asked again, up to a second after the others.
+    pub fn fail_starting(&mut self, longest: Duration) -> Duration {
+        self.fail()
+            .min(longest.mul_f64(self.rng.random_range(0.0..1.0)))
+    }
+
     /// Wait after a source said when to come back: not before, and a little
     /// spread, because times told in the same millisecond are alike.
     pub fn told(&mut self, after: Duration) -> Duration {
--- a/crates/core/tests/reconnect.rs
+++ b/crates/core/tests/reconnect.rs
@@ -87,6 +87,27 @@
     assert_eq!(sums.len(), 50);
 }
 
+// Power fails for all instances, and nodes are up two seconds before the
+// sources are. Callers of a node get nothing until it has asked again, so that
+// must not take longer because it has failed often.
+#[test]
+fn a_starting_node_asks_soon_after_its_sources_are_up() {
+    let longest = Duration::from_millis(200);
+    let up_at = Duration::from_secs(2);
+    for seed in 0..200 {
+        let bound = Duration::from_secs(1);
+        let mut backoff = ReconnectBackoff::new(seed).bounded(bound);
+        let mut now = Duration::ZERO;
+        let mut asked = 0;
+        while now < up_at {
+            now += backoff.fail_starting(longest);
+            asked += 1;
+        }
+        assert!(now <= up_at + longest, "{:?} late", now - up_at);
+        assert!(asked < 60, "{asked} questions in two seconds");
+    }
+}
+
 // The nearest control instance dies. The node turns to others at once, and
 // goes back to the near one later, when it answers again.
 #[test]
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -18,6 +18,7 @@
 use cowslip_core::reconnect_backoff::ReconnectBackoff;
 use cowslip_core::report_gather::ReportBatch;
 use cowslip_core::source_ring::SourceRing;
+use cowslip_core::version::ConfigVersion;
 use cowslip_core::version_follower::FollowStep;
 use cowslip_core::version_follower::VersionFollower;
 use cowslip_wire::follow_messages::ChunkCall;
@@ -40,12 +41,18 @@
 /// Longest wait after failures, in multiples of the wait for news.
 const BACKOFF_WAITS: f64 = 2.5;
 
+/// Part of the wait for news that a node without any configuration waits after
+/// a failure at most. A source that is up holds its question that whole wait,
+/// so that only refused connections follow each other this quickly.
+const START_PART: u32 = 2;
+
 /// How a node paces its questions.
 #[derive(Clone, Copy, Debug)]
 struct FollowPace {
     wait: Duration,
     patience: Duration,
     backoff: Duration,
+    starting: Duration,
 }
 
 impl FollowPace {
@@ -54,6 +61,7 @@
             wait,
             patience: wait + (wait + SHORT_MARGIN).min(ANSWER_MARGIN),
             backoff: wait.mul_f64(BACKOFF_WAITS),
+            starting: wait / START_PART,
         }
     }
 }
@@ -182,7 +190,11 @@
         self.waited = false;
         self.ring.failed(self.started.elapsed());
         self.current.send_replace(self.ring.current());
-        self.backoff.fail()
+        if self.versions.held() == ConfigVersion::ZERO {
+            self.backoff.fail_starting(self.pace.starting)
+        } else {
+            self.backoff.fail()
+        }
     }
 
     /// One question and what it brings.
