--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -4,13 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+
 use crate::agreement::member::AgreementMember;
 use crate::agreement::member::MemberStage;
 use crate::agreement::member_message::MemberMessage;
 use crate::agreement::member_message::MessageBody;
 use crate::agreement::saved_state::HardState;
 use crate::agreement::timing::ELECTION_MIN;
+use crate::agreement::timing::ELECTION_SPREAD;
+use crate::agreement::timing::START_JITTER_PART;
 use crate::agreement::timing::START_PATIENCE;
+use crate::agreement::timing::START_SPREAD;
 use crate::version::ConfigVersion;
 
 /// What voters answered to the question whether an election would be won.
@@ -48,6 +53,32 @@
         starting && now >= self.start_ask_at && self.is_voter()
     }
 
+    pub(super) fn delay_election(&mut self, now: Duration) {
+        let spread = self
+            .random
+            .random_range(0..ELECTION_SPREAD.as_millis() as u64);
+        self.election_at = now + ELECTION_MIN + Duration::from_millis(spread);
+    }
+
+    /// Puts off the question whether all voters have started again.
+    ///
+    /// Guards against split votes after the loss of all processes: they are
+    /// back within some milliseconds of each other, and two that ask together
+    /// both stand for election. Where one of three voters lost its disk
+    /// neither wins. In the order of their names each has its own part of the
+    /// spread.
+    pub(super) fn delay_start_ask(&mut self, now: Duration, patience: Duration) {
+        let voters: Vec<_> = self.log.members().voters().collect();
+        let place = voters
+            .iter()
+            .position(|voter| **voter == self.identity.instance);
+        let part = START_SPREAD / voters.len().max(1) as u32;
+        let jitter = part.as_millis() as u64 / START_JITTER_PART;
+        let jitter = self.random.random_range(0..jitter.max(1));
+        let turn = part * place.unwrap_or_default() as u32;
+        self.start_ask_at = now + patience + turn + Duration::from_millis(jitter);
+    }
+
     /// Asks whether an election would be won, without raising the term.
     ///
     /// Guards against a member that was cut off: without this it would come
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::Rng;
 use rand::SeedableRng;
 
 use crate::agreement::election::PreVotes;
@@ -37,8 +36,6 @@
 use crate::agreement::saved_state::SnapshotWrite;
 use crate::agreement::saved_state::WriteBatch;
 use crate::agreement::timing::ELECTION_MIN;
-use crate::agreement::timing::ELECTION_SPREAD;
-use crate::agreement::timing::START_JITTER_PART;
 use crate::agreement::timing::START_SPREAD;
 use crate::agreement::timing::STEP_DOWN;
 use crate::version::ConfigVersion;
@@ -436,32 +433,6 @@
         members.votes(&self.identity.instance, self.identity.folder)
     }
 
-    pub(super) fn delay_election(&mut self, now: Duration) {
-        let spread = self
-            .random
-            .random_range(0..ELECTION_SPREAD.as_millis() as u64);
-        self.election_at = now + ELECTION_MIN + Duration::from_millis(spread);
-    }
-
-    /// Puts off the question whether all voters have started again.
-    ///
-    /// Guards against split votes after the loss of all processes: they are
-    /// back within some milliseconds of each other, and two that ask together
-    /// both stand for election. Where one of three voters lost its disk
-    /// neither wins. In the order of their names each has its own part of the
-    /// spread.
-    pub(super) fn delay_start_ask(&mut self, now: Duration, patience: Duration) {
-        let voters: Vec<_> = self.log.members().voters().collect();
-        let place = voters
-            .iter()
-            .position(|voter| **voter == self.identity.instance);
-        let part = START_SPREAD / voters.len().max(1) as u32;
-        let jitter = part.as_millis() as u64 / START_JITTER_PART;
-        let jitter = self.random.random_range(0..jitter.max(1));
-        let turn = part * place.unwrap_or_default() as u32;
-        self.start_ask_at = now + patience + turn + Duration::from_millis(jitter);
-    }
-
     pub(super) fn message(
         &self,
         to: &Arc<str>,
--- a/crates/core/tests/agreement/main.rs
+++ b/crates/core/tests/agreement/main.rs
@@ -3,3 +3,4 @@
 mod failures;
 mod fleet;
 mod properties;
+mod restarts;
--- /dev/null
+++ b/crates/core/tests/agreement/restarts.rs
@@ -0,0 +1,169 @@
+//! Fleets whose processes start again together: who leads how soon, and which
+//! leases still hold.
+
+use std::time::Duration;
+
+use crate::failures::others;
+use crate::fleet::change;
+use crate::fleet::Fleet;
+
+// The power of the whole fleet fails for a moment, and every process starts
+// again. No node has a configuration until somebody leads, so callers are
+// refused that long. All voters are there and none of them leads: nobody can
+// hold a lease that one of them has forgotten, and there is nothing to wait for.
+#[test]
+fn a_fleet_that_starts_again_whole_has_a_leader_at_once() {
+    for voters in [3, 5] {
+        let mut waits = Vec::new();
+        for seed in 0..40 {
+            let mut fleet = Fleet::new(voters, 0, seed);
+            fleet.settle();
+            fleet.decide(&change("before", None));
+            for at in 0..voters {
+                fleet.crash(at);
+            }
+            fleet.run(Duration::from_millis(650));
+            for at in 0..voters {
+                fleet.start(at);
+            }
+            let started = fleet.now;
+            fleet.settle();
+            waits.push(fleet.now - started);
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+        waits.sort();
+        // Messages take up to 50 ms here and syncs up to 60; a wait for
+        // forgotten leases alone would be 500.
+        let (usual, longest) = (waits[20], waits[39]);
+        assert!(usual < Duration::from_millis(400), "{voters}: {waits:?}");
+        assert!(
+            longest < Duration::from_millis(1_500),
+            "{voters}: {waits:?}"
+        );
+    }
+}
+
+// The same, and one instance comes back without its disk. It can be asked for
+// nothing, but it says that it is new: what it led or granted is forgotten with
+// the process that knew of it, and there is nothing to wait for either.
+#[test]
+fn a_fleet_that_starts_again_with_a_lost_disk_has_a_leader_soon() {
+    for voters in [3, 5] {
+        let mut waits = Vec::new();
+        for seed in 0..40 {
+            let mut fleet = Fleet::joining(voters, 0, voters, seed);
+            fleet.settle();
+            fleet.decide(&change("before", None));
+            fleet.run(Duration::from_secs(1));
+            for at in 1..voters {
+                fleet.crash(at);
+            }
+            fleet.wipe(0);
+            fleet.run(Duration::from_millis(650));
+            for at in 0..voters {
+                fleet.start(at);
+            }
+            let started = fleet.now;
+            fleet.settle();
+            waits.push(fleet.now - started);
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+        waits.sort();
+        let usual = waits[20];
+        assert!(usual < Duration::from_millis(450), "{voters}: {waits:?}");
+    }
+}
+
+// Both voters that still have their disks start in the same millisecond. Were
+// they to ask each other at random times, they would often stand for election
+// together, neither would win, and for a second no node has a configuration.
+#[test]
+fn voters_that_start_again_together_split_few_votes() {
+    let mut split = 0;
+    for seed in 0..100 {
+        let mut fleet = Fleet::joining(3, 0, 3, seed);
+        fleet.quick = true;
+        fleet.settle();
+        fleet.decide(&change("before", None));
+        fleet.run(Duration::from_secs(1));
+        let before = fleet.terms();
+        for at in 1..3 {
+            fleet.crash(at);
+        }
+        fleet.wipe(0);
+        fleet.run(Duration::from_millis(650));
+        for at in 0..3 {
+            fleet.start(at);
+        }
+        fleet.settle();
+        split += usize::from(fleet.terms() > before + 1);
+    }
+    assert!(split <= 5, "{split} of 100 elections had no winner");
+}
+
+// A voter loses its disk and starts again, and so does another one with its
+// disk, while the leader runs on and is cut off. The voter without a disk is
+// idle, but the leader is not: its lease must have ended before anybody leads.
+#[test]
+fn a_lost_disk_does_not_end_the_leaders_lease() {
+    for voters in [3, 5] {
+        for seed in 0..200 {
+            let mut fleet = Fleet::joining(voters, 0, voters, seed);
+            let leader = fleet.settle();
+            fleet.decide(&change("before", None));
+            if !fleet.leading().contains(&leader) {
+                continue;
+            }
+            let followers = others(&fleet, leader);
+            fleet.wipe(followers[0]);
+            for at in &followers[1..] {
+                fleet.crash(*at);
+            }
+            for at in &followers {
+                fleet.start(*at);
+            }
+            fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
+            fleet.groups[leader] = 1;
+            fleet.run(Duration::from_secs(2));
+            fleet.heal();
+            fleet.settle();
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+    }
+}
+
+// All followers crash and start again within a few milliseconds, while their
+// leader runs on and answers as fresh under the lease that they granted and
+// forgot. They find each other idle at once. Did they not wait for the leader,
+// which is not idle, two instances would answer as fresh at once.
+#[test]
+fn followers_that_start_again_together_keep_their_leaders_lease() {
+    for voters in [3, 5] {
+        for seed in 0..200 {
+            let mut fleet = Fleet::new(voters, 0, seed);
+            let leader = fleet.settle();
+            fleet.decide(&change("before", None));
+            if !fleet.leading().contains(&leader) {
+                continue;
+            }
+            let followers = others(&fleet, leader);
+            for at in &followers {
+                fleet.crash(*at);
+            }
+            for at in &followers {
+                fleet.start(*at);
+            }
+            // The leader hears the first questions and is cut off then.
+            fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
+            fleet.groups[leader] = 1;
+            fleet.run(Duration::from_secs(2));
+            fleet.heal();
+            fleet.settle();
+            fleet.decide(&change("after", None));
+            fleet.check_end(voters);
+        }
+    }
+}
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -21,8 +21,6 @@
 use cowslip_core::entry_router::TryFailure;
 use cowslip_core::entry_router::TryReport;
 use cowslip_core::load::deadline_budget;
-use cowslip_core::load::retry_advice;
-use cowslip_core::load::retry_advice::CallerTime;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::rollout::evidence::MeasuredTry;
 use cowslip_core::rollout::evidence::TryEnd;
@@ -56,6 +54,7 @@
 use crate::entry_task::TryAnswer;
 use crate::hop::HopAnswer;
 use crate::keyed_call;
+use crate::refusal_reply::refusal_reply;
 
 /// Bytes of an answer that are held before any is passed on. Lookups answer
 /// with some kilobytes; nine nodes with 110 MB each hold 50 of this size.
@@ -131,35 +130,6 @@
     }
 }
 
-/// The answer to a call that is not served, whose caller has `left`, if it
-/// says so.
-pub fn refusal_reply(
-    refusal: CallRefusal,
-    dialect: &CallDialect,
-    left: Option<Duration>,
-) -> HttpReply {
-    let status = StatusCode::from_u16(refusal.reason.status_for(refusal.verdict));
-    let status = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    let mut reply = http_reply::text(status, refusal.reason.as_str());
-    http_reply::set_header(&mut reply, call_headers::VERDICT, refusal.verdict.as_str());
-    http_reply::set_header(&mut reply, call_headers::REASON, refusal.reason.as_str());
-    let later = matches!(status.as_u16(), 429 | 503);
-    let caller = CallerTime {
-        left,
-        fractions: dialect.fractions,
-    };
-    let after = retry_advice::retry_after(refusal.reason, caller, &mut rand::rng());
-    if let Some(after) = after.filter(|_| later) {
-        let seconds = if dialect.fractions {
-            format!("{:.2}", after.as_secs_f64())
-        } else {
-            after.as_secs().to_string()
-        };
-        http_reply::set_header(&mut reply, "retry-after", &seconds);
-    }
-    reply
-}
-
 fn not_run(reason: RefusalReason) -> CallRefusal {
     CallRefusal {
         reason,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod node_daemon;
 pub mod node_settings;
 pub mod peer_handler;
+pub mod refusal_reply;
 pub mod server_check;
 pub mod server_probe;
 pub mod start_calls;
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -41,13 +41,13 @@
 use crate::call_log::LoggedId;
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
-use crate::entry_handler::refusal_reply;
 use crate::entry_task::CallRefusal;
 use crate::gate_task::GateMessage;
 use crate::gate_task::GateView;
 use crate::gate_task::SlotGrant;
 use crate::holder_task::HolderMessage;
 use crate::hop::HopAnswer;
+use crate::refusal_reply::refusal_reply;
 
 /// Bytes of a server's refusal that are read so that its connection can be
 /// used again; refusals are a line of text.
--- /dev/null
+++ b/crates/node/src/refusal_reply.rs
@@ -0,0 +1,43 @@
+//! The answer to a call that is not served.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+
+use cowslip_core::load::retry_advice;
+use cowslip_core::load::retry_advice::CallerTime;
+use cowslip_wire::http_reply;
+use cowslip_wire::http_reply::HttpReply;
+
+use crate::call_dialect::CallDialect;
+use crate::call_headers;
+use crate::entry_task::CallRefusal;
+
+/// The answer to a call that is not served, whose caller has `left`, if it
+/// says so.
+pub fn refusal_reply(
+    refusal: CallRefusal,
+    dialect: &CallDialect,
+    left: Option<Duration>,
+) -> HttpReply {
+    let status = StatusCode::from_u16(refusal.reason.status_for(refusal.verdict));
+    let status = status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let mut reply = http_reply::text(status, refusal.reason.as_str());
+    http_reply::set_header(&mut reply, call_headers::VERDICT, refusal.verdict.as_str());
+    http_reply::set_header(&mut reply, call_headers::REASON, refusal.reason.as_str());
+    let later = matches!(status.as_u16(), 429 | 503);
+    let caller = CallerTime {
+        left,
+        fractions: dialect.fractions,
+    };
+    let after = retry_advice::retry_after(refusal.reason, caller, &mut rand::rng());
+    if let Some(after) = after.filter(|_| later) {
+        let seconds = if dialect.fractions {
+            format!("{:.2}", after.as_secs_f64())
+        } else {
+            after.as_secs().to_string()
+        };
+        http_reply::set_header(&mut reply, "retry-after", &seconds);
+    }
+    reply
+}
