--- a/crates/core/tests/agreement/restarts.rs
+++ b/crates/core/tests/agreement/restarts.rs
@@ -103,6 +103,34 @@
     assert!(split <= 5, "{split} of 100 elections had no winner");
 }
 
+/// Stops the followers of a leader that runs on by `stop`, starts them again
+/// within a few milliseconds, and cuts the leader off once it has heard their
+/// first questions. No two instances may answer as fresh at once meanwhile.
+fn followers_start_again(
+    mut fleet: Fleet,
+    voters: usize,
+    seed: u64,
+    stop: fn(&mut Fleet, &[usize]),
+) {
+    let leader = fleet.settle();
+    fleet.decide(&change("before", None));
+    if !fleet.leading().contains(&leader) {
+        return;
+    }
+    let followers = others(&fleet, leader);
+    stop(&mut fleet, &followers);
+    for at in &followers {
+        fleet.start(*at);
+    }
+    fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
+    fleet.groups[leader] = 1;
+    fleet.run(Duration::from_secs(2));
+    fleet.heal();
+    fleet.settle();
+    fleet.decide(&change("after", None));
+    fleet.check_end(voters);
+}
+
 // A voter loses its disk and starts again, and so does another one with its
 // disk, while the leader runs on and is cut off. The voter without a disk is
 // idle, but the leader is not: its lease must have ended before anybody leads.
@@ -110,27 +138,13 @@
 fn a_lost_disk_does_not_end_the_leaders_lease() {
     for voters in [3, 5] {
         for seed in 0..200 {
-            let mut fleet = Fleet::joining(voters, 0, voters, seed);
-            let leader = fleet.settle();
-            fleet.decide(&change("before", None));
-            if !fleet.leading().contains(&leader) {
-                continue;
-            }
-            let followers = others(&fleet, leader);
-            fleet.wipe(followers[0]);
-            for at in &followers[1..] {
-                fleet.crash(*at);
-            }
-            for at in &followers {
-                fleet.start(*at);
-            }
-            fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
-            fleet.groups[leader] = 1;
-            fleet.run(Duration::from_secs(2));
-            fleet.heal();
-            fleet.settle();
-            fleet.decide(&change("after", None));
-            fleet.check_end(voters);
+            let fleet = Fleet::joining(voters, 0, voters, seed);
+            followers_start_again(fleet, voters, seed, |fleet, followers| {
+                fleet.wipe(followers[0]);
+                for at in &followers[1..] {
+                    fleet.crash(*at);
+                }
+            });
         }
     }
 }
@@ -143,27 +157,12 @@
 fn followers_that_start_again_together_keep_their_leaders_lease() {
     for voters in [3, 5] {
         for seed in 0..200 {
-            let mut fleet = Fleet::new(voters, 0, seed);
-            let leader = fleet.settle();
-            fleet.decide(&change("before", None));
-            if !fleet.leading().contains(&leader) {
-                continue;
-            }
-            let followers = others(&fleet, leader);
-            for at in &followers {
-                fleet.crash(*at);
-            }
-            for at in &followers {
-                fleet.start(*at);
-            }
-            // The leader hears the first questions and is cut off then.
-            fleet.run(Duration::from_millis(10 + 5 * (seed % 25)));
-            fleet.groups[leader] = 1;
-            fleet.run(Duration::from_secs(2));
-            fleet.heal();
-            fleet.settle();
-            fleet.decide(&change("after", None));
-            fleet.check_end(voters);
+            let fleet = Fleet::new(voters, 0, seed);
+            followers_start_again(fleet, voters, seed, |fleet, followers| {
+                for at in followers {
+                    fleet.crash(*at);
+                }
+            });
         }
     }
 }
