An answer that is there goes out before the end of its caller's half is seen

Ruled out: load (it fails on a quiet machine too). Change: ready answers come before the reading side in that order. Test: an_answer_that_is_there_goes_out_before_the_end_is_seen (fails without).

--- a/crates/wire/src/ahead_connection.rs
+++ b/crates/wire/src/ahead_connection.rs
@@ -274,11 +274,13 @@
                     *output = BytesMut::new();
                 }
             }
+            // Before the end of the caller's half is seen: an answer that is
+            // there goes out also to a caller that sends no more.
+            () = any_ready(exchanges) => {}
+            () = room_in(feed) => {}
             read = read_ready(reader, input, read_room), if room => {
                 return self.took(read?);
             }
-            () = room_in(feed) => {}
-            () = any_ready(exchanges) => {}
             () = until(deadline) => return self.time_over(),
         }
         Ok(true)
--- a/crates/wire/tests/ahead_connection.rs
+++ b/crates/wire/tests/ahead_connection.rs
@@ -370,3 +370,23 @@
         assert!(parts.clone().is_ok_and(|parts| parts <= 256), "{parts:?}");
     });
 }
+
+// A caller sends what is no request and says that it sends no more. It is told
+// so: the answer is there before the end of its half is seen.
+#[test]
+fn an_answer_that_is_there_goes_out_before_the_end_is_seen() {
+    System::new().block_on(async {
+        let listener = listener(TimedHandler::default(), usual());
+        for _ in 0..50 {
+            let mut caller = TcpStream::connect(listener.address()).await.unwrap();
+            caller
+                .write_all(b"\x16\x03\x01 noise\r\n\r\n")
+                .await
+                .unwrap();
+            caller.shutdown().await.unwrap();
+            let mut answer = Vec::new();
+            caller.read_to_end(&mut answer).await.unwrap();
+            assert!(answer.starts_with(b"HTTP/1.1 400"), "{answer:?}");
+        }
+    });
+}
