Logs say who the members are and why a greeting instance waits

Change: each instance logs the member list whenever its log names another one; the leader logs each new verdict on the members with what decided it: the members wanted and there, and the one that was silent for longest. The verdict is made by a pure function in a file of its own; what it decides is unchanged.

--- a/crates/control/src/agreed_task.rs
+++ b/crates/control/src/agreed_task.rs
@@ -47,6 +47,7 @@
 use crate::member_store::MemberStore;
 use crate::member_store::OpenedFolder;
 use crate::member_store::StoreError;
+use crate::membership_log;
 use crate::peer_sender::PeerSenders;
 use crate::store_thread;
 use crate::store_thread::StoreHandle;
@@ -319,6 +320,14 @@
                 self.answer(reply, answer);
             }
             AgreedAction::Standing(standing) => self.show(&standing),
+            AgreedAction::Members(members) => {
+                membership_log::members(
+                    &self.instance,
+                    &members,
+                    self.member.agreement(),
+                );
+            }
+            AgreedAction::Planned(note) => membership_log::plan(&self.instance, &note),
             AgreedAction::Barred => {
                 self.metrics.barred();
                 warn!(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fanout_task;
 pub mod leader_view;
 pub mod member_store;
+pub mod membership_log;
 pub mod operator_desk;
 pub mod peer_sender;
 pub mod pin_task;
--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -31,6 +31,8 @@
 pub use self::saved_state::SavedState;
 pub use self::saved_state::SnapshotWrite;
 pub use self::saved_state::WriteBatch;
+pub use self::voter_plan::PlanNote;
+pub use self::voter_plan::PlanVerdict;
 
 pub mod timing;
 
@@ -48,3 +50,4 @@
 mod peer_memory;
 mod replica_log;
 mod saved_state;
+mod voter_plan;
--- a/crates/core/src/agreement/agreed_member.rs
+++ b/crates/core/src/agreement/agreed_member.rs
@@ -11,12 +11,14 @@
 use crate::agreement::member::AgreementMember;
 use crate::agreement::member::LeaderStanding;
 use crate::agreement::member::MemberOutput;
+use crate::agreement::member_list::MemberList;
 use crate::agreement::member_message::MemberMessage;
 use crate::agreement::membership::MemberAnswer;
 use crate::agreement::membership::MemberChange;
 use crate::agreement::membership::MemberLine;
 use crate::agreement::saved_state::AgreedSnapshot;
 use crate::agreement::saved_state::WriteBatch;
+use crate::agreement::voter_plan::PlanNote;
 use crate::change::ChangeEntry;
 use crate::change::ChangeOutcome;
 use crate::control_state::ConfigSnapshot;
@@ -75,6 +77,10 @@
     AnswerMembers(u64, ChangeAnswer<MemberAnswer>),
     /// The leader or the lease has changed.
     Standing(LeaderStanding),
+    /// The log names other members than before.
+    Members(MemberList),
+    /// As a leader, a new verdict on who should be a member.
+    Planned(PlanNote),
     /// The folder was found to have lost acknowledged entries.
     Barred,
 }
@@ -138,6 +144,7 @@
     published: ConfigVersion,
     bare: BareDocument,
     standing: LeaderStanding,
+    members: MemberList,
     barred: bool,
     waiting: BTreeMap<u64, Vec<WaitingTicket>>,
     actions: Vec<AgreedAction>,
@@ -153,6 +160,7 @@
             published: ConfigVersion::ZERO,
             bare: BareDocument::default(),
             standing: LeaderStanding::default(),
+            members: MemberList::default(),
             barred: false,
             waiting: BTreeMap::new(),
             actions: Vec::new(),
@@ -279,6 +287,9 @@
         for (address, message) in output.messages {
             self.actions.push(AgreedAction::Send(address, message));
         }
+        for note in output.notes {
+            self.actions.push(AgreedAction::Planned(note));
+        }
         if let Some(snapshot) = output.restored {
             self.state = snapshot.state;
             self.applied = snapshot.version;
@@ -344,6 +355,11 @@
             self.standing = standing.clone();
             self.actions.push(AgreedAction::Standing(standing));
         }
+        if *self.agreement.members() != self.members {
+            self.members = self.agreement.members().clone();
+            self.actions
+                .push(AgreedAction::Members(self.members.clone()));
+        }
         if self.agreement.is_barred() && !self.barred {
             self.barred = true;
             self.actions.push(AgreedAction::Barred);
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -38,6 +38,8 @@
 use crate::agreement::timing::ELECTION_MIN;
 use crate::agreement::timing::START_SPREAD;
 use crate::agreement::timing::STEP_DOWN;
+use crate::agreement::voter_plan::PlanNote;
+use crate::agreement::voter_plan::PlanVerdict;
 use crate::version::ConfigVersion;
 
 /// What a member is at the moment.
@@ -76,6 +78,8 @@
     pub restored: Option<AgreedSnapshot>,
     /// Entries committed since, in order.
     pub committed: Vec<LogEntry>,
+    /// What was newly decided about the members.
+    pub notes: Vec<PlanNote>,
 }
 
 /// One member of the agreement.
@@ -121,6 +125,9 @@
     pub(super) may_found: bool,
     /// Voters that the leader sees to by itself; 0 leaves them to operators.
     pub(super) voters_wanted: usize,
+    /// Last verdict on the members that was noted.
+    pub(super) plan_noted: PlanVerdict,
+    pub(super) plan_notes: Vec<PlanNote>,
 }
 
 impl AgreementMember {
@@ -165,6 +172,8 @@
             hello_at: now,
             may_found: true,
             voters_wanted: 0,
+            plan_noted: PlanVerdict::Keep,
+            plan_notes: Vec::new(),
         };
         member.delay_election(now);
         member.delay_start_ask(now, Duration::ZERO);
@@ -411,6 +420,7 @@
             messages,
             restored,
             committed,
+            notes: std::mem::take(&mut self.plan_notes),
         }
     }
 
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -15,17 +15,17 @@
 use crate::agreement::member_list::MemberRecord;
 use crate::agreement::member_list::MemberRole;
 use crate::agreement::timing::GREETING_FRESH;
+use crate::agreement::voter_plan;
+use crate::agreement::voter_plan::PlanNote;
+use crate::agreement::voter_plan::PlanVerdict;
+use crate::agreement::voter_plan::SeenMember;
+use crate::agreement::voter_plan::SeenNewcomer;
 use crate::version::ConfigVersion;
 
 /// Voters at most: each more costs the leader a copy of every change and
 /// five survive two losses already.
 const VOTERS_MAX: usize = 7;
 
-/// A member silent for this long gives its place to one that greets: far
-/// longer than a restart or a partition of some seconds, whose member comes
-/// back with all that it held.
-const LOST_AFTER: Duration = Duration::from_secs(12);
-
 /// What an operator asks of the members.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberChange {
@@ -238,50 +238,65 @@
         if self.voters_wanted == 0 || !settled || !leadership.is_fresh(self, now) {
             return;
         }
-        let Some(change) = self.wanted_change(now) else {
-            return;
-        };
-        // Refused where too few are live; the next tick looks again.
-        let _ = self.change_members(now, &change);
+        let verdict = self.plan_voters(now);
+        if let PlanVerdict::Change(change) = verdict {
+            // Refused where too few are live; the next tick looks again.
+            let _ = self.change_members(now, &change);
+        }
     }
 
-    fn wanted_change(&self, now: Duration) -> Option<MemberChange> {
-        let members = self.log.members();
-        for (instance, greeting) in &self.greetings {
-            let recent = now < greeting.at + GREETING_FRESH;
-            if !recent || !greeting.fresh || members.holds(instance, greeting.folder) {
-                continue;
-            }
-            let returned = members.get(instance).is_some();
-            if returned || members.iter().count() < self.voters_wanted {
-                return Some(MemberChange::Add {
-                    instance: Arc::clone(instance),
-                    address: greeting.address,
-                });
-            }
-            if let Some(instance) = self.long_lost(now) {
-                return Some(MemberChange::Remove { instance });
-            }
+    /// Decides on the next change, and notes a verdict that is new.
+    fn plan_voters(&mut self, now: Duration) -> PlanVerdict {
+        let members = self.seen_members(now);
+        let newcomers = self.seen_newcomers(now);
+        let verdict = voter_plan::decide(self.voters_wanted, &members, &newcomers);
+        if self.plan_noted != verdict {
+            self.plan_noted = verdict.clone();
+            self.plan_notes.push(PlanNote {
+                verdict: verdict.clone(),
+                wanted: self.voters_wanted,
+                members: members.len(),
+                silent: voter_plan::most_silent(&members),
+            });
         }
-        None
+        verdict
     }
 
-    /// A member that has not been heard of for [`LOST_AFTER`].
-    fn long_lost(&self, now: Duration) -> Option<Arc<str>> {
+    fn seen_members(&self, now: Duration) -> Vec<SeenMember> {
         let MemberStage::Leader(leadership) = &self.stage else {
-            return None;
+            return Vec::new();
         };
+        let mut seen = Vec::new();
         for (instance, _) in self.log.members().iter() {
-            if *instance == self.identity.instance {
-                continue;
-            }
-            let heard = self.progress(instance).and_then(|peer| peer.heard_at());
+            let heard = if *instance == self.identity.instance {
+                Some(now)
+            } else {
+                self.progress(instance).and_then(|peer| peer.heard_at())
+            };
             let since = heard.unwrap_or(Duration::ZERO).max(leadership.since());
-            if now >= since + LOST_AFTER {
-                return Some(Arc::clone(instance));
+            seen.push(SeenMember {
+                instance: Arc::clone(instance),
+                silent: now.saturating_sub(since),
+            });
+        }
+        seen
+    }
+
+    fn seen_newcomers(&self, now: Duration) -> Vec<SeenNewcomer> {
+        let members = self.log.members();
+        let mut newcomers = Vec::new();
+        for (instance, greeting) in &self.greetings {
+            let recent = now < greeting.at + GREETING_FRESH;
+            if !recent || members.holds(instance, greeting.folder) {
+                continue;
             }
+            newcomers.push(SeenNewcomer {
+                instance: Arc::clone(instance),
+                address: greeting.address,
+                admissible: greeting.fresh,
+            });
         }
-        None
+        newcomers
     }
 
     /// The members as the leader sees them.
--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -270,6 +270,8 @@
             AgreedAction::AnswerMembers(_, answer) => self.member_answers.push(answer),
             AgreedAction::Publish(_)
             | AgreedAction::Standing(_)
+            | AgreedAction::Members(_)
+            | AgreedAction::Planned(_)
             | AgreedAction::Barred => {}
         }
     }
