Failing test: replaced control instances never get a vote

The test replaces each founder in turn, a second apart, and gives each successor 4 s; it fails with 3 and 5 voters.

--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -39,6 +39,10 @@
     unsynced: Vec<(Duration, WriteBatch)>,
     pub folder: u64,
     pub starts: u64,
+    /// It was taken away for good.
+    gone: bool,
+    /// Instances that its settings name.
+    seeds: Vec<usize>,
     /// Its disk syncs nothing before this.
     stalled_until: Duration,
     /// Speed of its clock, in thousandths.
@@ -49,7 +53,6 @@
 /// Some instances and what runs between them.
 pub struct Fleet {
     pub instances: Vec<Instance>,
-    founders: usize,
     /// Voters that the fleet sees to by itself; 0 leaves them to operators.
     voters_wanted: usize,
     pub now: Duration,
@@ -127,6 +130,8 @@
                 unsynced: Vec::new(),
                 folder: at as u64 + 1,
                 starts: 0,
+                gone: false,
+                seeds: (0..founders).collect(),
                 stalled_until: Duration::ZERO,
                 pace: random.random_range(955..=1_045),
                 started: Duration::ZERO,
@@ -135,7 +140,6 @@
         let mut fleet = Self {
             groups: vec![0; instances.len()],
             instances,
-            founders,
             voters_wanted,
             now: Duration::ZERO,
             random,
@@ -157,15 +161,12 @@
     }
 
     pub fn start(&mut self, at: usize) {
-        if self.instances[at].member.is_some() {
+        if self.instances[at].member.is_some() || self.instances[at].gone {
             return;
         }
         let seed = self.random.random();
         let nonce = self.random.random();
-        let mut founders = Vec::new();
-        for founder in 0..self.founders {
-            founders.push((name(founder), address(founder)));
-        }
+        let founders = self.named(&self.instances[at].seeds);
         let instance = &mut self.instances[at];
         instance.starts += 1;
         instance.started = self.now;
@@ -190,6 +191,44 @@
         instance.member = Some(AgreedMember::new(agreement));
     }
 
+    fn named(&self, seeds: &[usize]) -> Vec<(Arc<str>, SocketAddr)> {
+        let named = seeds.iter().map(|seed| (name(*seed), address(*seed)));
+        named.collect()
+    }
+
+    /// Starts one more instance, with an empty folder and these seeds.
+    pub fn add(&mut self, seeds: Vec<usize>) -> usize {
+        let at = self.instances.len();
+        self.groups.push(0);
+        self.instances.push(Instance {
+            member: None,
+            disk: SavedState::default(),
+            unsynced: Vec::new(),
+            folder: at as u64 + 1,
+            starts: 0,
+            gone: false,
+            seeds,
+            stalled_until: Duration::ZERO,
+            pace: self.random.random_range(955..=1_045),
+            started: Duration::ZERO,
+        });
+        self.start(at);
+        at
+    }
+
+    /// Takes an instance away for good.
+    pub fn remove(&mut self, at: usize) {
+        self.crash(at);
+        self.instances[at].gone = true;
+    }
+
+    /// Changes the seeds in an instance's settings, which it reads again.
+    pub fn reload(&mut self, at: usize, seeds: Vec<usize>) {
+        let named = self.named(&seeds);
+        self.instances[at].seeds = seeds;
+        self.event(at, AgreedEvent::Greet(named));
+    }
+
     /// Ends a process; some of its unsynced writes may survive.
     pub fn crash(&mut self, at: usize) {
         let kept = self.random.random_range(0..3);
--- a/crates/core/tests/agreement/main.rs
+++ b/crates/core/tests/agreement/main.rs
@@ -3,4 +3,5 @@
 mod failures;
 mod fleet;
 mod properties;
+mod replacements;
 mod restarts;
--- /dev/null
+++ b/crates/core/tests/agreement/replacements.rs
@@ -0,0 +1,45 @@
+//! Control instances that are replaced for good, lose their disks or start
+//! again, as far as a fleet must bear it.
+
+use std::time::Duration;
+
+use crate::fleet::change;
+use crate::fleet::Fleet;
+
+/// Time from the loss of an instance to the start of its successor.
+const SUCCESSION: Duration = Duration::from_secs(1);
+
+/// Time after its start in which a successor takes over what was lost.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+// Guards against successors that never vote: the last founder to go takes
+// everything that was accepted with it.
+#[test]
+fn replaced_instances_leave_their_votes_to_their_successors() {
+    for voters in [3, 5] {
+        for seed in 0..20 {
+            let mut fleet = Fleet::joining(voters, 0, voters, seed);
+            fleet.settle();
+            fleet.decide(&change("kept", None));
+            let mut present: Vec<usize> = (0..voters).collect();
+            for _ in 0..voters {
+                let lost = present.remove(0);
+                fleet.remove(lost);
+                fleet.run(SUCCESSION);
+                present.push(fleet.add(vec![lost, present[0], present[1]]));
+                fleet.run(CATCH_UP);
+            }
+            for at in &present {
+                fleet.crash(*at);
+            }
+            fleet.run(SUCCESSION);
+            for at in &present {
+                fleet.start(*at);
+            }
+            fleet.run(Duration::from_secs(15));
+            let leading = fleet.leading();
+            assert_eq!(leading.len(), 1, "{voters} voters, seed {seed}: no leader");
+            assert!(fleet.state(leading[0]).answer("kept").is_some());
+        }
+    }
+}
