A new instance greets the leader that others name to it

Cause: an instance greets the seeds of its settings and the members it knows, and whoever is greeted keeps that to itself. Where no seed leads, the leader never hears of it, though each answer names the leader. Change: the leader of the last answer is greeted as well.

--- a/crates/core/src/agreement/founding.rs
+++ b/crates/core/src/agreement/founding.rs
@@ -88,6 +88,11 @@
         for (name, record) in self.log.members().iter() {
             greeted.insert(Arc::clone(name), record.address);
         }
+        // Without this an instance whose seeds are no members any more, though
+        // they run and know the leader, would never be heard of by the leader.
+        if let Some((leader, _)) = &self.hint {
+            greeted.insert(Arc::clone(&leader.instance), leader.address);
+        }
         greeted.remove(&self.identity.instance);
         greeted
     }
--- a/crates/core/tests/agreement/replacements.rs
+++ b/crates/core/tests/agreement/replacements.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::failures::others;
 use crate::fleet::change;
 use crate::fleet::Fleet;
 
@@ -43,3 +44,18 @@
         }
     }
 }
+
+// Guards against a new instance that the leader never hears of, because none of
+// the instances in its settings leads.
+#[test]
+fn an_instance_whose_seeds_do_not_lead_is_taken_in() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joining(4, 0, 5, seed);
+        let leader = fleet.settle();
+        fleet.decide(&change("kept", None));
+        let seeds = others(&fleet, leader);
+        let added = fleet.add(seeds);
+        fleet.run(CATCH_UP);
+        assert!(fleet.has_vote(added), "seed {seed}");
+    }
+}
