A silent member keeps no successor from voting

Cause: a leader made room for a new instance only by removing a member that it had not heard of for 12 s of its own leadership. A successor is given some seconds; the next loss came before it had its vote, and then two of three voters were gone. The class: a place held by an absent holder for longer than the next loss takes to come. Change: a member that is silent for 1.5 s keeps nobody out. A successor is added beside it and gets its vote; the silent one is removed only once there are voters enough without it, so that one that was merely slow loses nothing. It works because the added voter needs no more of the others than the removal would have.

--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -22,7 +22,7 @@
 use crate::agreement::voter_plan::SeenNewcomer;
 use crate::version::ConfigVersion;
 
-/// Voters at most: each more costs the leader a copy of every change and
+/// Live voters at most: each more costs the leader a copy of every change and
 /// five survive two losses already.
 const VOTERS_MAX: usize = 7;
 
@@ -53,7 +53,7 @@
     /// The instance has not greeted the members.
     #[error("the instance has not been heard of; start it with an empty data folder and these members in its settings first")]
     NotHeard,
-    /// Its folder holds entries of some log.
+    /// Its folder holds entries, and was no member's of this log.
     #[error("the instance's data folder is not empty; stop it, remove the folder, start it and ask again")]
     NotEmpty,
     /// No member has this name.
@@ -186,7 +186,8 @@
         if !greeting.fresh {
             return Err(MemberRefusal::NotEmpty);
         }
-        if members.get(instance).is_none() && members.iter().count() >= VOTERS_MAX {
+        let live = members.iter().filter(|(name, _)| self.is_live(now, name));
+        if members.get(instance).is_none() && live.count() >= VOTERS_MAX {
             return Err(MemberRefusal::TooMany);
         }
         Ok(MemberRecord {
@@ -267,7 +268,7 @@
             return Vec::new();
         };
         let mut seen = Vec::new();
-        for (instance, _) in self.log.members().iter() {
+        for (instance, record) in self.log.members().iter() {
             let heard = if *instance == self.identity.instance {
                 Some(now)
             } else {
@@ -276,6 +277,7 @@
             let since = heard.unwrap_or(Duration::ZERO).max(leadership.since());
             seen.push(SeenMember {
                 instance: Arc::clone(instance),
+                role: record.role,
                 silent: now.saturating_sub(since),
             });
         }
--- a/crates/core/src/agreement/timing.rs
+++ b/crates/core/src/agreement/timing.rs
@@ -62,6 +62,12 @@
 /// A member not heard of for this long is not counted as live.
 pub const PEER_LIVE: Duration = Duration::from_secs(1);
 
+/// A member silent for this long no longer keeps another instance from taking
+/// its place, where one waits. Longer than a process takes to start again, and
+/// short enough that a successor holds the log some seconds after its start,
+/// also where a leader had to be elected first.
+pub const ABSENT_AFTER: Duration = Duration::from_millis(1_500);
+
 /// A snapshot on its way is sent again after this long: 16 MB take 2 s on
 /// a link of 64 Mbit/s.
 pub const INSTALL_PATIENCE: Duration = Duration::from_secs(5);
--- a/crates/core/src/agreement/voter_plan.rs
+++ b/crates/core/src/agreement/voter_plan.rs
@@ -6,21 +6,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::agreement::member_list::MemberRole;
 use crate::agreement::membership::MemberChange;
-
-/// A member silent for this long gives its place to one that greets: far
-/// longer than a restart or a partition of some seconds, whose member comes
-/// back with all that it held.
-const LOST_AFTER: Duration = Duration::from_secs(12);
+use crate::agreement::timing::ABSENT_AFTER;
 
 /// A member as its leader sees it.
 #[derive(Clone, Debug)]
 pub(super) struct SeenMember {
     pub(super) instance: Arc<str>,
+    pub(super) role: MemberRole,
     /// Time since anything came from it under this leader.
     pub(super) silent: Duration,
 }
 
+impl SeenMember {
+    fn is_present(&self) -> bool {
+        self.silent < ABSENT_AFTER
+    }
+}
+
 /// An instance that greets and is no member with the folder that it shows.
 #[derive(Clone, Debug)]
 pub(super) struct SeenNewcomer {
@@ -74,11 +78,22 @@
 }
 
 /// Decides on the next change of members.
+///
+/// Guards against an instance that is lost for good and keeps the place of its
+/// successor: with the next loss nobody is left that holds the log. A successor
+/// is taken in beside the silent member, which loses its place only once there
+/// are voters enough without it; should it come back first, nothing is lost.
 pub(super) fn decide(
     wanted: usize,
     members: &[SeenMember],
     newcomers: &[SeenNewcomer],
 ) -> PlanVerdict {
+    if let Some(spare) = spare_member(wanted, members) {
+        let instance = Arc::clone(&spare.instance);
+        return PlanVerdict::Change(MemberChange::Remove { instance });
+    }
+    let present = members.iter().filter(|member| member.is_present());
+    let short = present.count() < wanted;
     let mut verdict = PlanVerdict::Keep;
     for newcomer in newcomers {
         let instance = Arc::clone(&newcomer.instance);
@@ -87,20 +102,26 @@
             continue;
         }
         let returned = members.iter().any(|member| member.instance == instance);
-        if returned || members.len() < wanted {
+        if returned || short {
             let address = newcomer.address;
             return PlanVerdict::Change(MemberChange::Add { instance, address });
         }
-        let lost = members.iter().find(|member| member.silent >= LOST_AFTER);
-        if let Some(lost) = lost {
-            let instance = Arc::clone(&lost.instance);
-            return PlanVerdict::Change(MemberChange::Remove { instance });
-        }
         verdict = PlanVerdict::Waits(instance, WaitReason::Enough);
     }
     verdict
 }
 
+/// The silent member that the fleet can do without, if there is one.
+fn spare_member(wanted: usize, members: &[SeenMember]) -> Option<&SeenMember> {
+    let present = members.iter().filter(|member| member.is_present());
+    let voters = present.filter(|member| member.role == MemberRole::Voter);
+    if members.len() <= wanted || voters.count() < wanted {
+        return None;
+    }
+    let silent = members.iter().filter(|member| !member.is_present());
+    silent.max_by_key(|member| member.silent)
+}
+
 /// The member that was silent for longest.
 pub(super) fn most_silent(members: &[SeenMember]) -> Option<(Arc<str>, Duration)> {
     let most = members.iter().max_by_key(|member| member.silent)?;
