A member that lost its place may come back with its folder

What operators would see: instances that were cut off or slow while another one waited are never taken in again; the fleet runs out of instances to choose from and with the next losses stops accepting changes. Cause: an instance that is no member was taken in only with an empty folder, so that nobody adds one that holds another fleet's log. Change: the list of members remembers the folders of former ones; such a folder holds the beginning of this log and is admitted. A greeting that was sent before the member last spoke does not take its place from it.

--- a/crates/core/src/agreement/member_list.rs
+++ b/crates/core/src/agreement/member_list.rs
@@ -32,8 +32,16 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberList {
     members: BTreeMap<Arc<str>, MemberRecord>,
+    /// Folders of members that were removed or came back with another one,
+    /// the last at the end.
+    #[serde(default)]
+    former: Vec<u64>,
 }
 
+/// Former folders that are remembered: more than a fleet's
+/// instances, each replaced some times.
+const FORMER_MAX: usize = 64;
+
 impl MemberList {
     /// The member of this name.
     pub fn get(&self, instance: &str) -> Option<&MemberRecord> {
@@ -47,12 +55,31 @@
 
     /// Sets a member's record.
     pub fn set(&mut self, instance: Arc<str>, record: MemberRecord) {
-        self.members.insert(instance, record);
+        let folder = record.folder;
+        self.former.retain(|former| *former != folder);
+        let before = self.members.insert(instance, record);
+        if let Some(before) = before.filter(|before| before.folder != folder) {
+            self.remember(before.folder);
+        }
     }
 
     /// Removes a member.
     pub fn remove(&mut self, instance: &str) {
-        self.members.remove(instance);
+        if let Some(record) = self.members.remove(instance) {
+            self.remember(record.folder);
+        }
+    }
+
+    fn remember(&mut self, folder: u64) {
+        if self.former.len() >= FORMER_MAX {
+            self.former.remove(0);
+        }
+        self.former.push(folder);
+    }
+
+    /// True for a folder that was a member's once and is none's now.
+    pub fn was_member(&self, folder: u64) -> bool {
+        self.former.contains(&folder)
     }
 
     /// True where no member is known yet.
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::agreement::founding::Greeting;
 use crate::agreement::log_entry::EntryBody;
 use crate::agreement::member::AgreementMember;
 use crate::agreement::member::MemberStage;
@@ -183,7 +184,7 @@
         if members.holds(instance, greeting.folder) {
             return Err(MemberRefusal::AlreadyMember);
         }
-        if !greeting.fresh {
+        if !self.is_admissible(greeting) {
             return Err(MemberRefusal::NotEmpty);
         }
         let live = members.iter().filter(|(name, _)| self.is_live(now, name));
@@ -197,6 +198,16 @@
         })
     }
 
+    /// True for an empty folder, and for one that was a member's once and so
+    /// holds the beginning of this log.
+    ///
+    /// Without the second a member that gave its place to another one while it
+    /// was cut off could never come back, and the fleet would run out of
+    /// instances to choose from.
+    fn is_admissible(&self, greeting: &Greeting) -> bool {
+        greeting.fresh || self.log.members().was_member(greeting.folder)
+    }
+
     /// Gives a vote to a learner that holds everything committed, synced.
     ///
     /// Guards against a second loss right after a repair: a repaired member
@@ -292,10 +303,16 @@
             if !recent || members.holds(instance, greeting.folder) {
                 continue;
             }
+            // A late greeting from before the member came back must not take
+            // its place from the folder that it has now.
+            let heard = self.progress(instance).and_then(|peer| peer.heard_at());
+            if heard.is_some_and(|heard| heard > greeting.at) {
+                continue;
+            }
             newcomers.push(SeenNewcomer {
                 instance: Arc::clone(instance),
                 address: greeting.address,
-                admissible: greeting.fresh,
+                admissible: self.is_admissible(greeting),
             });
         }
         newcomers
--- a/crates/core/tests/agreement/replacements.rs
+++ b/crates/core/tests/agreement/replacements.rs
@@ -59,3 +59,27 @@
         assert!(fleet.has_vote(added), "seed {seed}");
     }
 }
+
+// Guards against a member that was cut off, gave its place to another one and
+// is never taken in again, so that the fleet runs out of instances.
+#[test]
+fn a_member_that_lost_its_place_comes_back_when_it_is_needed() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joining(3, 0, 3, seed);
+        let leader = fleet.settle();
+        fleet.decide(&change("kept", None));
+        let followers = others(&fleet, leader);
+        let cut_off = followers[0];
+        fleet.groups[cut_off] = 1;
+        let added = fleet.add(vec![leader, followers[1]]);
+        fleet.run(CATCH_UP);
+        assert!(fleet.has_vote(added), "seed {seed}: the new one");
+        fleet.decide(&change("missed", None));
+        fleet.groups[cut_off] = 0;
+        fleet.run(CATCH_UP);
+        fleet.remove(added);
+        fleet.run(CATCH_UP);
+        assert!(fleet.has_vote(cut_off), "seed {seed}: the one cut off");
+        assert!(fleet.state(cut_off).answer("missed").is_some());
+    }
+}
