An instance whose disk failed opens its folder again

What operators saw in a trial: after two disks had been full for some seconds, ten seconds apart, no change was accepted until every process was killed, though all processes ran and both disks had room again. A failed write takes a member out of the agreement until its process ends, and nothing ends it; the next such loss takes the majority. A folder that was found rolled back or damaged kept its place for good likewise. Where a fleet sees to its voters itself, a spoilt folder is set aside and an empty one takes its place, which never founds a log and is taken in like a lost disk's.

--- a/crates/control/src/agreed_task.rs
+++ b/crates/control/src/agreed_task.rs
@@ -10,9 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::error;
 use log::info;
 use log::warn;
-use rand::Rng;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -37,15 +37,18 @@
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::messages::LeaderAnswer;
 use cowslip_wire::peer_client::PeerClient;
+use cowslip_wire::process_log::LogValue;
 
 use crate::agreed_metrics::AgreedMetrics;
 use crate::control_settings::ControlSettings;
 use crate::fanout_task::FanoutMessage;
+use crate::folder_opener;
+use crate::folder_opener::FolderOpener;
+use crate::folder_opener::FolderOpening;
+use crate::folder_opener::FolderSource;
 use crate::leader_view::LeaderView;
 use crate::leader_view::LeaderWatch;
-use crate::member_store::FolderStore;
 use crate::member_store::MemberStore;
-use crate::member_store::OpenedFolder;
 use crate::member_store::StoreError;
 use crate::membership_log;
 use crate::peer_sender::PeerSenders;
@@ -122,7 +125,9 @@
     instance: Arc<str>,
     member: AgreedMember,
     started: BootInstant,
-    store: StoreHandle,
+    store: Option<StoreHandle>,
+    /// Opens the folder again after a failure.
+    source: Arc<dyn FolderSource>,
     peers: PeerSenders,
     view: watch::Sender<LeaderView>,
     fanout: mpsc::Sender<FanoutMessage>,
@@ -140,46 +145,51 @@
     fanout: mpsc::Sender<FanoutMessage>,
     metrics: AgreedMetrics,
 ) -> Result<AgreedHandle, AgreedError> {
-    let opened = FolderStore::open(&settings.data_folder, &settings.instance)?;
-    let OpenedFolder {
+    let source = FolderOpener {
+        path: settings.data_folder.clone(),
+        instance: Arc::clone(&settings.instance),
+        renews: settings.joining.is_some(),
+    };
+    let FolderOpening {
         folder,
-        start,
-        saved,
+        renewed,
         store,
-    } = opened;
+    } = source.open()?;
     info!(
         "event=folder-opened process=control instance={} start={} term={} snapshot={} entries={}",
         settings.instance,
-        start.count,
-        saved.hard.term,
-        saved.snapshot.version,
-        saved.entries.len()
+        folder.start.count,
+        folder.saved.hard.term,
+        folder.saved.snapshot.version,
+        folder.saved.entries.len()
     );
     let identity = MemberIdentity {
         instance: Arc::clone(&settings.instance),
         address: settings.address(),
-        folder,
-        start,
+        folder: folder.folder,
+        start: folder.start,
     };
-    let seed = rand::rng().random();
     let founders = settings.founders();
     let zero = Duration::ZERO;
-    let mut member = AgreementMember::open(identity, founders, saved, zero, seed);
+    let mut member =
+        AgreementMember::open(identity, founders, folder.saved, zero, folder.seed);
     if let Some(joining) = settings.joining {
         member.see_to_voters(joining.voters);
-        if !joining.first_start {
+        if !joining.first_start || renewed {
             member.forbid_founding();
         }
     }
     let member = AgreedMember::new(member);
-    spawn_member(settings, member, Box::new(store), fanout, metrics)
+    spawn_member(settings, member, store, Arc::new(source), fanout, metrics)
 }
 
-/// Starts the task on a member and the store that it writes to.
+/// Starts the task on a member and the store that it writes to; where the store
+/// fails, `source` is asked for the folder again.
 pub fn spawn_member(
     settings: &ControlSettings,
     member: AgreedMember,
     store: Box<dyn MemberStore>,
+    source: Arc<dyn FolderSource>,
     fanout: mpsc::Sender<FanoutMessage>,
     metrics: AgreedMetrics,
 ) -> Result<AgreedHandle, AgreedError> {
@@ -189,7 +199,8 @@
         instance: Arc::clone(&settings.instance),
         member,
         started: BootInstant::now(),
-        store: store_thread::spawn(store, reports)?,
+        store: Some(store_thread::spawn(store, reports)?),
+        source,
         peers: PeerSenders::new(PeerClient::new(settings.system_key.clone())),
         view,
         fanout,
@@ -214,6 +225,7 @@
         mut disk: mpsc::UnboundedReceiver<AgreedEvent>,
     ) {
         let mut tick = actix_rt::time::interval(TICK);
+        let (opened, mut openings) = mpsc::unbounded_channel();
         loop {
             let mut messages = Vec::new();
             let mut events = Vec::new();
@@ -224,6 +236,11 @@
                     }
                 }
                 Some(report) = disk.recv() => events.push(report),
+                Some(opening) = openings.recv() => {
+                    if let Some(reports) = self.reopen(opening, &mut events) {
+                        disk = reports;
+                    }
+                }
                 _ = tick.tick() => events.push(AgreedEvent::Tick),
             }
             while let Ok(report) = disk.try_recv() {
@@ -232,15 +249,70 @@
             for message in messages {
                 self.take(message, &mut events);
             }
+            let failed = events
+                .iter()
+                .any(|event| matches!(event, AgreedEvent::DiskFailed));
             let actions = self.member.handle(self.started.elapsed(), events);
+            let barred = actions
+                .iter()
+                .any(|act| matches!(act, AgreedAction::Barred));
             for action in actions {
                 self.act(action).await;
             }
+            if failed || (barred && self.source.renews()) {
+                self.leave_folder(&opened);
+            }
             self.show_metrics();
             self.finish_hand_overs();
         }
     }
 
+    /// Lets go of a folder that failed, and has it opened again.
+    fn leave_folder(&mut self, opened: &mpsc::UnboundedSender<FolderOpening>) {
+        self.store = None;
+        let opener = folder_opener::spawn(Arc::clone(&self.source), opened.clone());
+        if let Err(problem) = opener {
+            error!(
+                "event=folder-opener-failed process=control instance={} error={}",
+                self.instance,
+                LogValue(problem)
+            );
+        }
+    }
+
+    /// Goes on with a folder that is open again; gives the new store's reports.
+    fn reopen(
+        &mut self,
+        opening: FolderOpening,
+        events: &mut Vec<AgreedEvent>,
+    ) -> Option<mpsc::UnboundedReceiver<AgreedEvent>> {
+        let (reports, disk) = mpsc::unbounded_channel();
+        let store = match store_thread::spawn(opening.store, reports) {
+            Ok(store) => store,
+            Err(problem) => {
+                error!(
+                    "event=store-thread-failed process=control instance={} error={}",
+                    self.instance,
+                    LogValue(problem)
+                );
+                return None;
+            }
+        };
+        let folder = opening.folder;
+        info!(
+            "event=folder-reopened process=control instance={} renewed={} start={} term={} snapshot={} entries={}",
+            self.instance,
+            opening.renewed,
+            folder.start.count,
+            folder.saved.hard.term,
+            folder.saved.snapshot.version,
+            folder.saved.entries.len()
+        );
+        self.store = Some(store);
+        events.push(AgreedEvent::Reopened(folder));
+        Some(disk)
+    }
+
     /// Turns a message into events, or answers it at once. A reply that
     /// nobody waits for any more is dropped: its caller has given up and
     /// will ask again.
@@ -303,7 +375,12 @@
 
     async fn act(&mut self, action: AgreedAction) {
         match action {
-            AgreedAction::Write(batch) => self.store.write(batch),
+            AgreedAction::Write(batch) => {
+                // Without a folder the member has nothing to write.
+                if let Some(store) = &self.store {
+                    store.write(batch);
+                }
+            }
             AgreedAction::Send(address, message) => self.peers.send(address, message),
             AgreedAction::Publish(snapshot) => {
                 // The fan-out task ends only with this one.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control_handler;
 pub mod control_settings;
 pub mod fanout_task;
+pub mod folder_opener;
 pub mod leader_view;
 pub mod member_store;
 pub mod membership_log;
--- a/crates/control/src/member_store.rs
+++ b/crates/control/src/member_store.rs
@@ -74,6 +74,19 @@
     RolledBack,
 }
 
+impl StoreError {
+    /// True where the folder's content cannot be used, now or later.
+    pub fn is_spoilt(&self) -> bool {
+        match self {
+            Self::Damaged { .. } | Self::NotWhole { .. } | Self::RolledBack => true,
+            Self::Disk(_)
+            | Self::Codec(_)
+            | Self::InUse(_)
+            | Self::OtherInstance { .. } => false,
+        }
+    }
+}
+
 /// Writes what a member asks to be written.
 pub trait MemberStore: Send {
     /// Writes the batches in their order and returns once all are synced.
@@ -142,6 +155,24 @@
         })
     }
 
+    /// Renames the files of a folder that cannot be used, so that an empty one
+    /// takes its place and operators can still look at them.
+    ///
+    /// The identity goes first: without it whatever is left after a crash is
+    /// taken for somebody's and set aside as well.
+    pub fn set_aside(path: &Path) -> Result<(), StoreError> {
+        for name in [IDENTITY_FILE, LOG_FILE, SNAPSHOT_FILE] {
+            let file = path.join(name);
+            match fs::rename(&file, path.join(format!("{name}.spoilt"))) {
+                Err(failure) if failure.kind() != io::ErrorKind::NotFound => {
+                    return Err(failure.into());
+                }
+                _ => File::open(path)?.sync_all()?,
+            }
+        }
+        Ok(())
+    }
+
     fn write_snapshot(&mut self, batch: &mut WriteBatch) -> Result<(), StoreError> {
         let Some(write) = batch.snapshot.take() else {
             return Ok(());
--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -28,6 +28,7 @@
 pub use self::saved_state::AgreedSnapshot;
 pub use self::saved_state::HardState;
 pub use self::saved_state::MemberIdentity;
+pub use self::saved_state::ReopenedFolder;
 pub use self::saved_state::SavedState;
 pub use self::saved_state::SnapshotWrite;
 pub use self::saved_state::WriteBatch;
--- a/crates/core/src/agreement/agreed_member.rs
+++ b/crates/core/src/agreement/agreed_member.rs
@@ -17,6 +17,7 @@
 use crate::agreement::membership::MemberChange;
 use crate::agreement::membership::MemberLine;
 use crate::agreement::saved_state::AgreedSnapshot;
+use crate::agreement::saved_state::ReopenedFolder;
 use crate::agreement::saved_state::WriteBatch;
 use crate::agreement::voter_plan::PlanNote;
 use crate::change::ChangeEntry;
@@ -41,6 +42,8 @@
     Persisted(u64),
     /// A write or sync failed; nothing written later counts.
     DiskFailed,
+    /// The folder was opened again, or another one in its place.
+    Reopened(ReopenedFolder),
     /// An operator's change; the answer carries the ticket.
     Change(u64, ChangeEntry),
     /// An operator's change of members; the answer carries the ticket.
@@ -209,6 +212,7 @@
             AgreedEvent::Message(message) => self.agreement.receive(now, message),
             AgreedEvent::Persisted(sequence) => self.agreement.persisted(now, sequence),
             AgreedEvent::DiskFailed => self.agreement.disk_failed(),
+            AgreedEvent::Reopened(opened) => self.reopen(now, opened),
             AgreedEvent::Change(ticket, entry) => self.change(now, ticket, entry),
             AgreedEvent::Members(ticket, change) => {
                 self.change_members(now, ticket, &change);
@@ -218,6 +222,16 @@
         }
     }
 
+    /// Begins again on what the folder holds. What was published stays so: the
+    /// state grows back to it as entries are found to be committed.
+    fn reopen(&mut self, now: Duration, opened: ReopenedFolder) {
+        self.agreement = self.agreement.reopen(opened, now);
+        self.state = Arc::default();
+        self.applied = ConfigVersion::ZERO;
+        self.barred = false;
+        self.settle_waiting();
+    }
+
     fn change(&mut self, now: Duration, ticket: u64, entry: ChangeEntry) {
         let leading = self.agreement.standing(now).leading;
         if leading {
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -32,6 +32,7 @@
 use crate::agreement::saved_state::AgreedSnapshot;
 use crate::agreement::saved_state::HardState;
 use crate::agreement::saved_state::MemberIdentity;
+use crate::agreement::saved_state::ReopenedFolder;
 use crate::agreement::saved_state::SavedState;
 use crate::agreement::saved_state::SnapshotWrite;
 use crate::agreement::saved_state::WriteBatch;
@@ -180,6 +181,23 @@
         member
     }
 
+    /// The same member once its folder has been opened again, as after a start
+    /// of its process: what it held in memory only is forgotten.
+    pub fn reopen(&self, opened: ReopenedFolder, now: Duration) -> Self {
+        let same_folder = opened.folder == self.identity.folder;
+        let identity = MemberIdentity {
+            folder: opened.folder,
+            start: opened.start,
+            ..self.identity.clone()
+        };
+        let founders = self.founders.clone();
+        let mut member = Self::open(identity, founders, opened.saved, now, opened.seed);
+        member.may_found = self.may_found && same_folder;
+        member.voters_wanted = self.voters_wanted;
+        member.hint = self.hint.clone();
+        member
+    }
+
     /// Never founds a log: the fleet has been founded before.
     ///
     /// Guards against an instance that comes back with an empty folder while
--- a/crates/core/src/agreement/saved_state.rs
+++ b/crates/core/src/agreement/saved_state.rs
@@ -59,6 +59,20 @@
     pub entries: Vec<LogEntry>,
 }
 
+/// A data folder that was opened again after its disk had failed, or a new one
+/// in the place of one that lost acknowledged entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReopenedFolder {
+    /// Random number of the folder.
+    pub folder: u64,
+    /// This start on it.
+    pub start: StartMark,
+    /// What it holds.
+    pub saved: SavedState,
+    /// Seed of what the member draws.
+    pub seed: u64,
+}
+
 /// Something to be written and synced as one, in the order of the fields.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WriteBatch {
--- a/crates/core/tests/agreement/replacements.rs
+++ b/crates/core/tests/agreement/replacements.rs
@@ -83,3 +83,21 @@
         assert!(fleet.state(cut_off).answer("missed").is_some());
     }
 }
+
+// Guards against members that run on without a part in the agreement after
+// their disks failed for a while, until no majority is left.
+#[test]
+fn members_whose_disks_failed_one_after_another_take_part_again() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joining(3, 0, 3, seed);
+        fleet.settle();
+        fleet.decide(&change("kept", None));
+        for at in 0..3 {
+            fleet.fail_disk(at);
+            fleet.decide(&change(&format!("during-{at}"), None));
+            fleet.reopen(at);
+            fleet.run(CATCH_UP);
+        }
+        fleet.check_end(3);
+    }
+}
