Instances pass on the members they know to those that greet them

What operators would see: in a fleet with spare control instances one with an empty disk and the spares wait for ever while the leader runs short of voters. Cause: an instance greets its seeds, the members of its log and the leader it was told of. Where the seeds are spares and the one member among them is gone, they know only each other. Change: the answer to a greeting names the members, or else the contacts that the answering instance was told itself; contacts are kept in memory and greeted.

--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -10,6 +10,7 @@
 pub use self::agreed_member::AgreedEvent;
 pub use self::agreed_member::AgreedMember;
 pub use self::agreed_member::ChangeAnswer;
+pub use self::contact_book::ContactPlace;
 pub use self::log_entry::EntryBody;
 pub use self::log_entry::LogEntry;
 pub use self::member::AgreementMember;
@@ -38,6 +39,7 @@
 pub mod timing;
 
 mod agreed_member;
+mod contact_book;
 mod election;
 mod follower;
 mod founding;
--- a/crates/core/src/agreement/founding.rs
+++ b/crates/core/src/agreement/founding.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::agreement::contact_book::ContactPlace;
 use crate::agreement::leadership::PeerProgress;
 use crate::agreement::log_entry::EntryBody;
 use crate::agreement::member::AgreementMember;
@@ -93,6 +94,9 @@
         if let Some((leader, _)) = &self.hint {
             greeted.insert(Arc::clone(&leader.instance), leader.address);
         }
+        for (name, address) in self.contacts.iter() {
+            greeted.entry(Arc::clone(name)).or_insert(address);
+        }
         greeted.remove(&self.identity.instance);
         greeted
     }
@@ -113,10 +117,28 @@
             leader: self.standing(now).leader,
             fresh,
             greeted: message.start,
+            contacts: self.known_places(),
         };
         self.answer(message, body);
     }
 
+    /// The members, and where none is known yet the contacts.
+    fn known_places(&self) -> Vec<ContactPlace> {
+        let mut places = Vec::new();
+        for (name, record) in self.log.members().iter() {
+            let (instance, address) = (Arc::clone(name), record.address);
+            places.push(ContactPlace { instance, address });
+        }
+        if !places.is_empty() {
+            return places;
+        }
+        for (name, address) in self.contacts.iter() {
+            let instance = Arc::clone(name);
+            places.push(ContactPlace { instance, address });
+        }
+        places
+    }
+
     fn note_greeting(&mut self, now: Duration, message: &MemberMessage, fresh: bool) {
         self.greetings
             .retain(|_, greeting| now < greeting.at + GREETING_FRESH);
@@ -132,6 +154,7 @@
             leader,
             fresh,
             greeted,
+            contacts,
         } = &message.body
         else {
             return;
@@ -139,6 +162,7 @@
         if let Some(leader) = leader {
             self.hint = Some((leader.clone(), now));
         }
+        self.contacts.learn(now, contacts);
         if *greeted != self.identity.start {
             return;
         }
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -13,6 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::agreement::contact_book::ContactBook;
 use crate::agreement::election::PreVotes;
 use crate::agreement::election::VoteGround;
 use crate::agreement::election::VoterWord;
@@ -100,6 +101,8 @@
     pub(super) output: OutputQueue,
     pub(super) memory: PeerMemory,
     pub(super) greetings: BTreeMap<Arc<str>, Greeting>,
+    /// Instances that answers to greetings named.
+    pub(super) contacts: ContactBook,
     /// Instances that answered this start's greetings.
     pub(super) founding_answers: BTreeMap<Arc<str>, Greeting>,
     /// Folder by which each instance was last answered while this one had
@@ -155,6 +158,7 @@
             log,
             memory: PeerMemory::default(),
             greetings: BTreeMap::new(),
+            contacts: ContactBook::default(),
             founding_answers: BTreeMap::new(),
             answered: BTreeMap::new(),
             disk_failed: false,
@@ -195,6 +199,7 @@
         member.may_found = self.may_found && same_folder;
         member.voters_wanted = self.voters_wanted;
         member.hint = self.hint.clone();
+        member.contacts = self.contacts.clone();
         member
     }
 
--- a/crates/core/src/agreement/member_message.rs
+++ b/crates/core/src/agreement/member_message.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::agreement::contact_book::ContactPlace;
 use crate::agreement::log_entry::LogEntry;
 use crate::agreement::peer_memory::PeerMark;
 use crate::agreement::peer_memory::StartMark;
@@ -62,6 +63,10 @@
         fresh: bool,
         /// Start of the greeting instance.
         greeted: StartMark,
+        /// The members, or else the contacts, that the answering instance
+        /// knows.
+        #[serde(default)]
+        contacts: Vec<ContactPlace>,
     },
     /// Would you vote for the sender in the next term?
     PreVote {
--- a/crates/core/tests/agreement/schedules.rs
+++ b/crates/core/tests/agreement/schedules.rs
@@ -311,3 +311,17 @@
         hold(5, 2, seed, &steps);
     }
 }
+
+// Guards against instances that know only each other: their seeds were spares,
+// and the one member among them is gone.
+#[test]
+fn instances_whose_seeds_are_spares_or_gone_are_taken_in() {
+    let steps = [
+        ScheduleStep::LoseAndKillAll(0, LossKind::Crashed, 0, 100),
+        ScheduleStep::Lose(vec![
+            (645993161373531363, LossKind::Wiped, 100),
+            (17101939146766189867, LossKind::Replaced, 100),
+        ]),
+    ];
+    hold(5, 2, 292725811798027434, &steps);
+}
