A signal or new settings during a start are not lost

Cause: the signals were taken over last, once the folder and the listeners were open; until then each of them ends a process. And the watch took the file as it was then for what the process had read, so that a change in between was never learnt. Same class: an instance that is lost though nothing was lost. Change: signals are taken over before anything is opened, and the text that the watch compares with is read before the settings are.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -12,7 +12,9 @@
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
 use cowslip_wire::settings_watch;
+use cowslip_wire::settings_watch::SettingsText;
 use cowslip_wire::stop_signal;
+use cowslip_wire::stop_signal::StopSignals;
 
 /// Runs a control instance of cowslipwall.
 ///
@@ -30,13 +32,14 @@
 fn main() {
     let args = command_args::parse_or_exit(&control_args());
     process_log::start();
+    let held = SettingsText::hold(args.settings);
     let settings: ControlSettings =
-        settings_file::read_or_exit("cowslip-control", &args.settings);
+        settings_file::read_or_exit("cowslip-control", held.path());
     if args.check {
-        println!("{}: usable", args.settings.display());
+        println!("{}: usable", held.path().display());
         return;
     }
-    let ended = actix_rt::System::new().block_on(run(&settings, args.settings));
+    let ended = actix_rt::System::new().block_on(run(&settings, held));
     process_log::finish();
     if let Err(problem) = ended {
         eprintln!("cowslip-control: {problem}");
@@ -46,12 +49,13 @@
 
 async fn run(
     settings: &ControlSettings,
-    path: PathBuf,
+    held: SettingsText,
 ) -> Result<(), Box<dyn std::error::Error>> {
+    let signals = StopSignals::listen()?;
     let sockets = ControlSockets::bind(settings.listen, settings.admin_listen)?;
     let daemon = ControlDaemon::spawn(settings, sockets)?;
     let reload = async |changed: ControlSettings| daemon.reload(&changed).await;
-    settings_watch::until_stopped(path, reload).await?;
+    settings_watch::until_stopped(signals, held, reload).await;
     stop_signal::stop("control", &settings.instance, daemon.stop()).await;
     Ok(())
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -12,7 +12,9 @@
 use cowslip_wire::process_log;
 use cowslip_wire::settings_file;
 use cowslip_wire::settings_watch;
+use cowslip_wire::settings_watch::SettingsText;
 use cowslip_wire::stop_signal;
+use cowslip_wire::stop_signal::StopSignals;
 
 /// Runs the node beside a backend server.
 ///
@@ -30,13 +32,13 @@
 fn main() {
     let args = command_args::parse_or_exit(&node_args());
     process_log::start();
-    let settings: NodeSettings =
-        settings_file::read_or_exit("cowslip-node", &args.settings);
+    let held = SettingsText::hold(args.settings);
+    let settings: NodeSettings = settings_file::read_or_exit("cowslip-node", held.path());
     if args.check {
-        println!("{}: usable", args.settings.display());
+        println!("{}: usable", held.path().display());
         return;
     }
-    let ended = actix_rt::System::new().block_on(run(&settings, args.settings));
+    let ended = actix_rt::System::new().block_on(run(&settings, held));
     process_log::finish();
     if let Err(problem) = ended {
         eprintln!("cowslip-node: {problem}");
@@ -44,12 +46,13 @@
     }
 }
 
-async fn run(settings: &NodeSettings, path: PathBuf) -> std::io::Result<()> {
+async fn run(settings: &NodeSettings, held: SettingsText) -> std::io::Result<()> {
+    let signals = StopSignals::listen()?;
     let sockets = NodeSockets::bind(settings)?;
     let seed = rand::random();
     let daemon = NodeDaemon::spawn(settings, sockets, seed)?;
     let reload = async |changed: NodeSettings| daemon.reload(&changed);
-    settings_watch::until_stopped(path, reload).await?;
+    settings_watch::until_stopped(signals, held, reload).await;
     stop_signal::stop("node", &settings.instance, daemon.stop()).await;
     Ok(())
 }
--- a/crates/wire/src/settings_watch.rs
+++ b/crates/wire/src/settings_watch.rs
@@ -5,7 +5,7 @@
 //! goes on with what it has.
 
 use std::fs;
-use std::io;
+use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,12 +18,35 @@
 use crate::process_log::LogValue;
 use crate::settings_file;
 use crate::settings_reader::FromSettings;
-use crate::stop_signal;
+use crate::stop_signal::StopSignals;
 
 /// Pause between two looks. A process whose seeds have all gone is without
 /// news until it has read the new ones.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
+/// A settings file as it was before a process read it.
+///
+/// Guards against a change between that and the start of the watch, which would
+/// pass for what the process has, so that it never learned of it.
+#[derive(Clone, Debug)]
+pub struct SettingsText {
+    path: PathBuf,
+    text: String,
+}
+
+impl SettingsText {
+    /// Reads the file at `path`. One that cannot be read holds nothing yet.
+    pub fn hold(path: PathBuf) -> Self {
+        let text = fs::read_to_string(&path).unwrap_or_default();
+        Self { path, text }
+    }
+
+    /// Where the file is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
 /// A watch that is running.
 pub struct SettingsWatch<T> {
     /// Settings that took the place of those before.
@@ -43,11 +66,11 @@
 }
 
 impl<T: FromSettings + 'static> SettingsWatch<T> {
-    /// Watches the file at `path`, which has just been read.
-    pub fn spawn(path: PathBuf) -> Self {
+    /// Watches a file for what differs from `held`.
+    pub fn spawn(held: SettingsText) -> Self {
         let (sender, changes) = mpsc::unbounded_channel();
         let at_once = Rc::new(Notify::new());
-        actix_rt::spawn(watch(path, sender, Rc::clone(&at_once)));
+        actix_rt::spawn(watch(held, sender, Rc::clone(&at_once)));
         Self { changes, at_once }
     }
 
@@ -60,27 +83,31 @@
 /// Runs a process until a planned stop is asked for; `reload` gets settings
 /// that took the place of those before.
 pub async fn until_stopped<T: FromSettings + 'static>(
-    path: PathBuf,
+    signals: StopSignals,
+    held: SettingsText,
     mut reload: impl AsyncFnMut(T),
-) -> io::Result<()> {
-    let mut watch = SettingsWatch::<T>::spawn(path);
+) {
+    let mut watch = SettingsWatch::<T>::spawn(held);
     let now = watch.look_now();
-    let stop = stop_signal::wait_and(|| now.look());
+    let stop = signals.wait_and(|| now.look());
     tokio::pin!(stop);
     loop {
         tokio::select! {
-            stopped = &mut stop => return stopped,
+            () = &mut stop => return,
             Some(changed) = watch.changes.recv() => reload(changed).await,
         }
     }
 }
 
 async fn watch<T: FromSettings>(
-    path: PathBuf,
+    held: SettingsText,
     changes: mpsc::UnboundedSender<T>,
     at_once: Rc<Notify>,
 ) {
-    let mut held = fs::read_to_string(&path).unwrap_or_default();
+    let SettingsText {
+        path,
+        text: mut held,
+    } = held;
     while !changes.is_closed() {
         let pause = actix_rt::time::sleep(LOOK_PAUSE);
         tokio::select! {
--- a/crates/wire/src/stop_signal.rs
+++ b/crates/wire/src/stop_signal.rs
@@ -5,26 +5,45 @@
 
 use log::info;
 use tokio::signal::unix::signal;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 
-/// Returns at the first SIGTERM or SIGINT; each SIGHUP before it calls
-/// `reload`, and ends nothing.
-pub async fn wait_and(mut reload: impl FnMut()) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => reload(),
+/// The signals of operators, which end nothing by themselves any more.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl StopSignals {
+    /// Takes the signals over. A process does so before it opens anything: by
+    /// default each of them ends it, and may come while it starts.
+    pub fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Returns at the first SIGTERM or SIGINT; each SIGHUP before it calls
+    /// `reload`. Signals that came since [`Self::listen`] count.
+    pub async fn wait_and(mut self, mut reload: impl FnMut()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => reload(),
+            }
         }
     }
 }
 
 /// Returns at the first SIGTERM or SIGINT.
 pub async fn wait() -> io::Result<()> {
-    wait_and(|| {}).await
+    StopSignals::listen()?.wait_and(|| {}).await;
+    Ok(())
 }
 
 /// Carries out the planned stop of a process of this kind, and says so.
