The soak wipes and replaces control instances

Control instances know three seeds, as on the platform, and no list of members. Faults are new: an instance with an empty folder, one replaced by another at another address, and the same with the loss of all processes right behind it; settings of the others follow once the successor runs. At the end as many must vote as at the start.

--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -60,6 +60,14 @@
     /// A control instance killed in the middle of a write, which leaves a
     /// torn record; started again after a while.
     TornWrite(usize, Duration),
+    /// A control instance killed, and started again with an empty folder.
+    Wipe(usize, Duration),
+    /// A control instance killed for good; another one starts after a while, at
+    /// another address and with an empty folder.
+    Replace(usize, Duration),
+    /// The same, and once the successor has started all processes are killed
+    /// and started again.
+    ReplaceAndKillAll(usize, Duration),
     /// Asked to stop, and started again a while after its end.
     Stop(Place, Duration),
     /// Told to read its settings again.
@@ -91,7 +99,10 @@
             | Self::TornWrite(_, time)
             | Self::Link(_, _, time)
             | Self::Drain(_, time)
+            | Self::Wipe(_, time)
+            | Self::Replace(_, time)
             | Self::KillAll(time) => *time,
+            Self::ReplaceAndKillAll(_, time) => *time * 2,
             Self::Stop(_, time) => *time + PLANNED_STOP_MAX,
             Self::Reload(_) => Duration::ZERO,
         }
@@ -102,7 +113,10 @@
             Self::Pause(Place::Control(at), _)
             | Self::Kill(Place::Control(at), _)
             | Self::Stop(Place::Control(at), _)
-            | Self::TornWrite(at, _) => Some(*at),
+            | Self::TornWrite(at, _)
+            | Self::Wipe(at, _)
+            | Self::Replace(at, _)
+            | Self::ReplaceAndKillAll(at, _) => Some(*at),
             _ => None,
         }
     }
@@ -111,8 +125,9 @@
 /// Longest time that a planned stop takes.
 pub const PLANNED_STOP_MAX: Duration = Duration::from_secs(8);
 
-/// Rest between two losses of control instances: an election and catching up.
-const CONTROL_REST: Duration = Duration::from_secs(3);
+/// Rest between two losses of control instances: the time in which one that
+/// came back or took another's place catches up.
+const CONTROL_REST: Duration = Duration::from_secs(4);
 
 /// Faults a second of the run; half of them overlap another one.
 const FAULTS_PER_SECOND: f64 = 0.8;
@@ -151,7 +166,7 @@
     } else {
         Place::Node(node)
     };
-    match random.random_range(0..20) {
+    match random.random_range(0..25) {
         0..=3 => Fault::Pause(place, away),
         4..=6 => Fault::Kill(place, away),
         7 => Fault::TornWrite(control, away),
@@ -160,6 +175,9 @@
         11..=13 => Fault::Link(Link::ToControl(control), mode(random), away),
         14..=16 => Fault::Link(Link::ToServer(node), mode(random), away),
         17..=18 => Fault::Drain(node, away),
+        19 => Fault::Wipe(control, away),
+        20..=22 => Fault::Replace(control, away),
+        23 => Fault::ReplaceAndKillAll(control, away),
         _ => Fault::KillAll(away),
     }
 }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -31,6 +31,12 @@
 
 const SYSTEM_KEY: &str = "soak-system";
 
+/// Loopback number of the first successor of a control instance.
+const FIRST_SUCCESSOR: usize = 140;
+
+/// Successors before their loopback numbers are used again.
+const SUCCESSORS_MAX: usize = 100;
+
 /// First part of a record, as a crash in the middle of a write leaves it.
 const TORN_RECORD: [u8; 11] = [40, 1, 0, 0, 7, 7, 7, 7, 1, 2, 3];
 
@@ -46,7 +52,7 @@
 /// A fleet of separate processes.
 pub struct SoakFleet {
     /// Where control instances listen.
-    pub controls: Vec<SocketAddr>,
+    pub controls: Rc<RefCell<Vec<SocketAddr>>>,
     /// Where nodes are reached.
     pub nodes: Vec<NodePlace>,
     /// Backend servers, by node.
@@ -54,6 +60,11 @@
     control_processes: Vec<RefCell<FleetProcess>>,
     node_processes: Vec<RefCell<FleetProcess>>,
     to_controls: Vec<LinkProxy>,
+    control_targets: Vec<Rc<Cell<SocketAddr>>>,
+    /// Empty folders that each control instance was given since the start.
+    emptied: Vec<Cell<usize>>,
+    /// Control instances replaced since the start.
+    replaced: Cell<usize>,
     to_servers: Vec<LinkProxy>,
     folder: PathBuf,
 }
@@ -82,23 +93,28 @@
     ) -> Result<Self, SoakError> {
         let controls = addresses(1, CONTROLS)?;
         let mut to_controls = Vec::new();
+        let mut control_targets = Vec::new();
         for (at, address) in controls.iter().enumerate() {
             let listen = own_address(10 + at)?;
             let target = Rc::new(Cell::new(*address));
-            to_controls.push(LinkProxy::bind(listen, target)?);
+            to_controls.push(LinkProxy::bind(listen, Rc::clone(&target))?);
+            control_targets.push(target);
         }
         let mut fleet = Self {
-            controls,
+            controls: Rc::new(RefCell::new(controls)),
             nodes: Vec::new(),
             servers: Vec::new(),
             control_processes: Vec::new(),
             node_processes: Vec::new(),
             to_controls,
+            control_targets,
+            emptied: vec![Cell::new(0); CONTROLS],
+            replaced: Cell::new(0),
             to_servers: Vec::new(),
             folder: folder.to_owned(),
         };
         for at in 0..CONTROLS {
-            let settings = fleet.control_settings(at)?;
+            let settings = fleet.control_settings(at, true)?;
             let process = fleet.start(
                 programs,
                 "cowslip-control",
@@ -132,23 +148,52 @@
         Ok(())
     }
 
-    fn control_settings(&self, at: usize) -> Result<String, SoakError> {
-        let mut members = String::new();
-        for (number, address) in self.controls.iter().enumerate() {
-            members +=
-                &format!("  - {{instance: control-{number}, address: \"{address}\"}}\n");
-        }
-        let data = self.data_folder(at);
+    fn control_settings(
+        &self,
+        at: usize,
+        first_start: bool,
+    ) -> Result<String, SoakError> {
+        let controls = self.controls.borrow();
+        let seeds: Vec<String> =
+            controls.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let listen = controls[at];
         Ok(format!(
-            "instance: control-{at}\nfailure_domain: domain-{at}\nlisten: {}\n\
-             admin_listen: {}\ndata_folder: {}\nmembers:\n{members}\
-             operator_key: {OPERATOR_KEY}\nsystem_key: {SYSTEM_KEY}\n",
-            self.controls[at],
+            "instance: \"{listen}\"\nfailure_domain: domain-{at}\nlisten: {listen}\n\
+             admin_listen: {}\ndata_folder: {}\nseeds: [{}]\nfirst_start: {first_start}\n\
+             losses: 1\noperator_key: {OPERATOR_KEY}\nsystem_key: {SYSTEM_KEY}\n",
             own_address(20 + at)?,
-            data.display()
+            self.data_folder(at).display(),
+            seeds.join(", ")
         ))
     }
 
+    /// Writes the settings of all control instances as they are now; those that
+    /// run read them when they are told to.
+    pub fn write_control_settings(&self) -> Result<(), SoakError> {
+        for at in 0..CONTROLS {
+            let file = self.settings_file(Place::Control(at));
+            fs::write(file, self.control_settings(at, false)?)?;
+        }
+        Ok(())
+    }
+
+    /// Gives a control instance that has ended an empty folder.
+    pub fn empty_folder(&self, at: usize) -> Result<(), SoakError> {
+        self.emptied[at].set(self.emptied[at].get() + 1);
+        self.write_control_settings()
+    }
+
+    /// Puts another instance, not started yet, in the place of a control
+    /// instance that has ended.
+    pub fn replace_control(&self, at: usize) -> Result<(), SoakError> {
+        let number = self.replaced.get();
+        self.replaced.set(number + 1);
+        let listen = own_address(FIRST_SUCCESSOR + number % SUCCESSORS_MAX)?;
+        self.controls.borrow_mut()[at] = listen;
+        self.control_targets[at].set(listen);
+        self.empty_folder(at)
+    }
+
     fn node_settings(&mut self, at: usize) -> Result<String, SoakError> {
         let place = NodePlace {
             callers: own_address(30 + at)?,
@@ -179,7 +224,7 @@
         settings: &str,
     ) -> Result<FleetProcess, SoakError> {
         let instance = instance(place);
-        let file = self.folder.join(format!("{instance}.yaml"));
+        let file = self.settings_file(place);
         fs::write(&file, settings)?;
         FleetProcess::spawn(ProcessPlan {
             program: program(programs, name)?,
@@ -227,8 +272,13 @@
         Ok(())
     }
 
+    fn settings_file(&self, place: Place) -> PathBuf {
+        self.folder.join(format!("{}.yaml", instance(place)))
+    }
+
     fn data_folder(&self, at: usize) -> PathBuf {
-        self.folder.join(format!("data-{at}"))
+        let emptied = self.emptied[at].get();
+        self.folder.join(format!("data-{at}-{emptied}"))
     }
 }
 
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -11,11 +11,14 @@
 
 use cowslip_cli::control_client::ControlClient;
 use cowslip_cli::request_id::new_request_id;
+use cowslip_core::agreement::MemberLine;
+use cowslip_core::agreement::MemberRole;
 use cowslip_core::change::ConfigChange;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::RouteSpec;
 use cowslip_core::document::ServiceSpec;
 use cowslip_wire::access_key::AccessKey;
+use cowslip_wire::agreement_messages::MembersCall;
 use cowslip_wire::messages::ShowCall;
 
 use crate::backend::SERVICE;
@@ -29,8 +32,8 @@
 
 /// What the operator works with.
 pub struct OperatorPlan {
-    /// Control instances, asked without a proxy.
-    pub controls: Vec<SocketAddr>,
+    /// Control instances of the moment, asked without a proxy.
+    pub controls: Rc<RefCell<Vec<SocketAddr>>>,
     /// Key of operators.
     pub key: AccessKey,
     /// Highest route in an accepted document.
@@ -43,11 +46,17 @@
     pub sightings: Rc<RefCell<Sightings>>,
 }
 
+impl OperatorPlan {
+    fn client(&self) -> ControlClient {
+        ControlClient::new(self.controls.borrow().clone(), self.key.clone())
+    }
+}
+
 /// Adds routes until the run is over. A change whose answer was lost is sent
 /// again as part of the next, since documents are whole.
 pub async fn change_on(plan: Rc<OperatorPlan>) {
-    let client = ControlClient::new(plan.controls.clone(), plan.key.clone());
     while !plan.over.get() {
+        let client = plan.client();
         let route = plan.routes.get() + 1;
         let change = ConfigChange::Apply(document(route));
         if client.change(new_request_id(), None, change).await.is_ok() {
@@ -62,8 +71,7 @@
 
 /// Numbers of the routes in force, where an instance can tell.
 pub async fn read_back(plan: &OperatorPlan) -> Option<Vec<u64>> {
-    let client = ControlClient::new(plan.controls.clone(), plan.key.clone());
-    let snapshot = client.ask(&ShowCall {}).await.ok()?;
+    let snapshot = plan.client().ask(&ShowCall {}).await.ok()?;
     let mut routes = Vec::new();
     for route in &snapshot.document.routes {
         let number = route.path.strip_prefix("/route-");
@@ -72,6 +80,13 @@
     Some(routes)
 }
 
+/// How many voters run, where an instance can tell.
+pub async fn live_voters(plan: &OperatorPlan) -> Option<usize> {
+    let members = plan.client().ask(&MembersCall {}).await.ok()?;
+    let votes = |member: &&MemberLine| member.live && member.role == MemberRole::Voter;
+    Some(members.iter().filter(votes).count())
+}
+
 /// The document with routes 1 to `last`.
 pub fn document(last: u64) -> FleetDocument {
     let spec = ServiceSpec {
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::fault_plan::CONTROLS;
 use crate::sightings::Outcome;
 use crate::sightings::SentCall;
 use crate::sightings::Sightings;
@@ -42,6 +43,7 @@
     check_routes_stay(sightings, &mut list);
     check_in_force(sightings, &mut list);
     check_kept(sightings, &mut list);
+    check_voters(sightings, &mut list);
     check_stops(sightings, &mut list);
     check_drains(sightings, &mut list);
     check_recovery(sightings, end, &mut list);
@@ -57,6 +59,17 @@
     }
 }
 
+/// The successors of lost control instances vote at the end.
+fn check_voters(sightings: &Sightings, list: &mut BrokenList) {
+    let Some(voters) = sightings.live_voters else {
+        return;
+    };
+    if voters < CONTROLS {
+        let seen = format!("{voters} of {CONTROLS} voters run at the end");
+        list.push("lost control instances are made good", seen);
+    }
+}
+
 fn check_answers(sightings: &Sightings, list: &mut BrokenList) {
     for call in &sightings.calls {
         if call.outcome == Outcome::Answered(false) {
--- a/soak/src/sightings.rs
+++ b/soak/src/sightings.rs
@@ -92,6 +92,8 @@
     pub accepted: Vec<AcceptedRoute>,
     /// Routes of the document read back at the end.
     pub read_back: Vec<u64>,
+    /// Control instances that vote and run, at the end.
+    pub live_voters: Option<usize>,
     /// Starts of nodes, which forget what they had.
     pub starts: Vec<(usize, Duration)>,
     /// Times that excuse a node.
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -21,6 +21,7 @@
 use crate::fault_plan::LinkMode;
 use crate::fault_plan::Place;
 use crate::fault_plan::TimedFault;
+use crate::fault_plan::CONTROLS;
 use crate::fault_plan::NODES;
 use crate::fault_plan::PLANNED_STOP_MAX;
 use crate::fleet::instance;
@@ -100,6 +101,7 @@
     let operator = run.operator(&over);
     let operating = actix_rt::spawn(operator::change_on(Rc::clone(&operator)));
     run.come_up(&operator).await?;
+    run.fleet.write_control_settings()?;
     let calling = run.callers(seed, &operator, &over);
     let watching = actix_rt::spawn(watch(Rc::clone(&run), Rc::clone(&over)));
     let faults = fault_plan::faults(seed, time);
@@ -114,6 +116,8 @@
     let end = run.started.elapsed();
     let routes = operator::read_back(&operator).await.unwrap_or_default();
     run.sightings.borrow_mut().read_back = routes;
+    let voters = operator::live_voters(&operator).await.unwrap_or_default();
+    run.sightings.borrow_mut().live_voters = Some(voters);
     run.stop_all().await?;
     let sightings = run.sightings.borrow();
     Ok(report(&sightings, faults.len(), end))
@@ -151,7 +155,7 @@
 impl SoakRun {
     fn operator(&self, over: &Rc<Cell<bool>>) -> Rc<OperatorPlan> {
         Rc::new(OperatorPlan {
-            controls: self.fleet.controls.clone(),
+            controls: Rc::clone(&self.fleet.controls),
             key: AccessKey::new(OPERATOR_KEY),
             routes: Rc::new(Cell::new(0)),
             over: Rc::clone(over),
@@ -259,6 +263,18 @@
                 actix_rt::time::sleep(time).await;
                 self.start(place).await?;
             }
+            Fault::Wipe(at, time) => {
+                let place = Place::Control(at);
+                self.fleet.process(place).borrow_mut().kill()?;
+                self.fleet.empty_folder(at)?;
+                actix_rt::time::sleep(time).await;
+                self.start(place).await?;
+            }
+            Fault::Replace(at, time) => self.replace(at, time).await?,
+            Fault::ReplaceAndKillAll(at, time) => {
+                self.replace(at, time).await?;
+                self.kill_all(time).await?;
+            }
             Fault::Stop(place, time) => return self.stop(place, time).await,
             Fault::Reload(place) => return self.signal(place, Signal::SIGHUP),
             Fault::Link(link, mode, time) => {
@@ -274,20 +290,37 @@
                 self.fleet.announce(at).await;
                 return Ok(());
             }
-            Fault::KillAll(time) => {
-                for place in self.fleet.places() {
-                    self.fleet.process(place).borrow_mut().kill()?;
-                }
-                actix_rt::time::sleep(time).await;
-                for place in self.fleet.places() {
-                    self.start(place).await?;
-                }
-            }
+            Fault::KillAll(time) => self.kill_all(time).await?,
         }
         self.note_trouble(felt_by(fault), from);
         Ok(())
     }
 
+    async fn kill_all(&self, time: Duration) -> Result<(), SoakError> {
+        for place in self.fleet.places() {
+            self.fleet.process(place).borrow_mut().kill()?;
+        }
+        actix_rt::time::sleep(time).await;
+        for place in self.fleet.places() {
+            self.start(place).await?;
+        }
+        Ok(())
+    }
+
+    /// Replaces a control instance; the others hear of its successor's address
+    /// once it has started.
+    async fn replace(&self, at: usize, time: Duration) -> Result<(), SoakError> {
+        let place = Place::Control(at);
+        self.fleet.process(place).borrow_mut().kill()?;
+        self.fleet.replace_control(at)?;
+        actix_rt::time::sleep(time).await;
+        self.start(place).await?;
+        for other in (0..CONTROLS).filter(|other| *other != at) {
+            self.signal(Place::Control(other), Signal::SIGHUP)?;
+        }
+        Ok(())
+    }
+
     /// A planned stop, checked, and a start some time after its end.
     async fn stop(&self, place: Place, time: Duration) -> Result<(), SoakError> {
         let asked = self.started.elapsed();
--- a/soak/tests/promises.rs
+++ b/soak/tests/promises.rs
@@ -96,6 +96,15 @@
     assert_eq!(broken(vec![], late), promise);
 }
 
+#[test]
+fn a_control_instance_that_never_votes_is_found() {
+    let voters =
+        |live: usize| move |sightings: &mut Sightings| sightings.live_voters = Some(live);
+    let promise = ["lost control instances are made good"];
+    assert_eq!(broken(vec![], voters(2)), promise);
+    assert!(broken(vec![], voters(3)).is_empty());
+}
+
 #[test]
 fn a_version_that_goes_back_is_found_until_the_node_starts_anew() {
     let served = call("a", 1, Some(3), Outcome::Answered(true));
