--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -48,6 +48,8 @@
 mod member;
 mod member_list;
 mod member_message;
+mod member_outbox;
+mod member_writes;
 mod membership;
 mod output_queue;
 mod peer_memory;
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -21,13 +21,11 @@
 use crate::agreement::leadership::Leadership;
 use crate::agreement::log_entry::LogEntry;
 use crate::agreement::member_list::MemberList;
-use crate::agreement::member_list::MemberRole;
 use crate::agreement::member_message::LeaderPlace;
 use crate::agreement::member_message::MemberMessage;
 use crate::agreement::member_message::MessageBody;
 use crate::agreement::output_queue::AddressedMessage;
 use crate::agreement::output_queue::OutputQueue;
-use crate::agreement::peer_memory::PeerMark;
 use crate::agreement::peer_memory::PeerMemory;
 use crate::agreement::replica_log::ReplicaLog;
 use crate::agreement::saved_state::AgreedSnapshot;
@@ -35,7 +33,6 @@
 use crate::agreement::saved_state::MemberIdentity;
 use crate::agreement::saved_state::ReopenedFolder;
 use crate::agreement::saved_state::SavedState;
-use crate::agreement::saved_state::SnapshotWrite;
 use crate::agreement::saved_state::WriteBatch;
 use crate::agreement::timing::ELECTION_MIN;
 use crate::agreement::timing::START_SPREAD;
@@ -96,7 +93,7 @@
     pub(super) log: ReplicaLog,
     pub(super) commit: u64,
     handed_out: u64,
-    restored: bool,
+    pub(super) restored: bool,
     pub(super) stage: MemberStage,
     pub(super) output: OutputQueue,
     pub(super) memory: PeerMemory,
@@ -412,14 +409,6 @@
         self.output.clear();
     }
 
-    /// Takes a snapshot of the state after `version`, which was handed out
-    /// as committed.
-    pub fn compact(&mut self, mut snapshot: AgreedSnapshot) {
-        snapshot.members = self.log.members_at(snapshot.version.index);
-        self.log.compact(snapshot);
-        self.write_snapshot();
-    }
-
     /// Hands out what was decided since the last time.
     pub fn take_output(&mut self, now: Duration) -> MemberOutput {
         if self.disk_failed {
@@ -466,64 +455,6 @@
         members.votes(&self.identity.instance, self.identity.folder)
     }
 
-    pub(super) fn message(
-        &self,
-        to: &Arc<str>,
-        to_folder: Option<u64>,
-        body: MessageBody,
-    ) -> MemberMessage {
-        MemberMessage {
-            from: Arc::clone(&self.identity.instance),
-            address: self.identity.address,
-            folder: self.identity.folder,
-            start: self.identity.start,
-            synced: self.output.synced_index(),
-            term: self.hard.term,
-            to: Arc::clone(to),
-            to_folder,
-            body,
-        }
-    }
-
-    /// Sends to a member of the list.
-    pub(super) fn send(&mut self, to: &Arc<str>, body: MessageBody) {
-        let Some(record) = self.log.members().get(to) else {
-            return;
-        };
-        let (address, folder) = (record.address, record.folder);
-        let message = self.message(to, Some(folder), body);
-        self.output.send((address, message));
-    }
-
-    /// Answers the sender of `message`, member of the own list or not: the
-    /// list may lag behind the sender's.
-    pub(super) fn answer(&mut self, message: &MemberMessage, body: MessageBody) {
-        let answer = self.message(&message.from, Some(message.folder), body);
-        self.output.send((message.address, answer));
-    }
-
-    /// The other members that entries go to, and their folders.
-    ///
-    /// A learner whose addition is not committed gets nothing yet: should a
-    /// later leader undo the addition, its folder is still empty and it can
-    /// be added again.
-    pub(super) fn receivers(&self) -> Vec<(Arc<str>, u64)> {
-        let settled = self.log.members_index() <= self.commit;
-        let mut receivers = Vec::new();
-        for (name, record) in self.log.members().iter() {
-            let waits = record.role == MemberRole::Learner && !settled;
-            if *name != self.identity.instance && !waits {
-                receivers.push((Arc::clone(name), record.folder));
-            }
-        }
-        receivers
-    }
-
-    pub(super) fn set_hard(&mut self, hard: HardState) {
-        self.hard = hard;
-        self.output.pending().hard = Some(self.hard.clone());
-    }
-
     /// Follows in `term`, with nobody known to lead it yet.
     pub(super) fn follow(&mut self, now: Duration, term: u64) {
         if term > self.hard.term {
@@ -539,72 +470,6 @@
         self.delay_election(now);
     }
 
-    pub(super) fn append(&mut self, entry: LogEntry) {
-        self.output.pending().entries.push(entry.clone());
-        self.log.push(entry);
-    }
-
-    /// Cuts the log from `index` on, in memory and on disk.
-    pub(super) fn cut_from(&mut self, index: u64) {
-        self.log.cut_from(index);
-        self.output.cut_from(index);
-        let pending = self.output.pending();
-        pending.entries.retain(|entry| entry.version.index < index);
-        let lowest = pending.cut_from.map_or(index, |before| before.min(index));
-        pending.cut_from = Some(lowest);
-    }
-
-    pub(super) fn restore(&mut self, snapshot: AgreedSnapshot) {
-        // Synced entries behind the old commit may be of another history.
-        self.output.cut_from(self.commit + 1);
-        self.commit = snapshot.version.index;
-        self.log.install(snapshot);
-        self.restored = true;
-        self.write_snapshot();
-    }
-
-    fn write_snapshot(&mut self) {
-        let first = self.log.first_index();
-        let rest = self.log.from(first).cloned().collect();
-        let write = SnapshotWrite {
-            snapshot: self.log.snapshot().clone(),
-            hard: self.hard.clone(),
-            rest,
-        };
-        // The new log file holds the whole log as it stands now.
-        let pending = self.output.pending();
-        pending.snapshot = Some(write);
-        pending.cut_from = None;
-        pending.entries.clear();
-    }
-
-    /// Checks what a sender shows against what its folder must hold.
-    fn trusts(&mut self, message: &MemberMessage) -> bool {
-        let shown = PeerMark {
-            start: message.start,
-            synced: message.synced,
-            term: message.term,
-        };
-        let Some(mark) = self.memory.meet(message.folder, shown) else {
-            return true;
-        };
-        self.answer(message, MessageBody::Distrust { mark });
-        false
-    }
-
-    fn take_distrust(&mut self, now: Duration, mark: PeerMark) {
-        let synced = self.output.synced_index();
-        if !mark.accuses(self.identity.start, synced, self.hard.term) {
-            return;
-        }
-        self.set_hard(HardState {
-            barred: true,
-            ..self.hard.clone()
-        });
-        self.stage = MemberStage::Follower;
-        self.delay_election(now);
-    }
-
     /// Version of the last entry.
     pub fn last(&self) -> ConfigVersion {
         self.log.last()
