A folder is opened again only once its store before has ended

Cause, found by reading the change: an instance whose folder was found rolled back while its disk hung in a write would have opened the folder beside the store that still wrote to it, and one that failed in two ways at once would have opened it twice. A lock does not keep them apart on every disk. Two stores on one folder overwrite each other's records: what was acknowledged may be lost. Change: the opener waits for the end of the thread before, and there is one at a time. Test: a report channel that stays open holds the opener back.

--- a/crates/control/src/agreed_task.rs
+++ b/crates/control/src/agreed_task.rs
@@ -260,17 +260,27 @@
                 self.act(action).await;
             }
             if failed || (barred && self.source.renews()) {
-                self.leave_folder(&opened);
+                self.leave_folder(&mut disk, &opened);
             }
             self.show_metrics();
             self.finish_hand_overs();
         }
     }
 
-    /// Lets go of a folder that failed, and has it opened again.
-    fn leave_folder(&mut self, opened: &mpsc::UnboundedSender<FolderOpening>) {
-        self.store = None;
-        let opener = folder_opener::spawn(Arc::clone(&self.source), opened.clone());
+    /// Lets go of a folder that failed, and has it opened again; nothing where
+    /// that is under way.
+    fn leave_folder(
+        &mut self,
+        disk: &mut mpsc::UnboundedReceiver<AgreedEvent>,
+        opened: &mpsc::UnboundedSender<FolderOpening>,
+    ) {
+        if self.store.take().is_none() {
+            return;
+        }
+        let (_, closed) = mpsc::unbounded_channel();
+        let before = std::mem::replace(disk, closed);
+        let source = Arc::clone(&self.source);
+        let opener = folder_opener::spawn(source, before, opened.clone());
         if let Err(problem) = opener {
             error!(
                 "event=folder-opener-failed process=control instance={} error={}",
--- a/crates/control/src/folder_opener.rs
+++ b/crates/control/src/folder_opener.rs
@@ -12,8 +12,10 @@
 
 use log::warn;
 use rand::Rng;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
 
+use cowslip_core::agreement::AgreedEvent;
 use cowslip_core::agreement::ReopenedFolder;
 use cowslip_wire::process_log::LogValue;
 
@@ -95,12 +97,20 @@
 }
 
 /// Starts a thread that tries until the folder is open, and hands it over then.
+///
+/// It waits first for the end of the thread whose reports are `before`, since
+/// that one may still hang in a write. Two stores on one folder would overwrite
+/// each other's records, and a lock does not keep them apart on every disk.
 pub fn spawn(
     source: Arc<dyn FolderSource>,
+    mut before: UnboundedReceiver<AgreedEvent>,
     opened: UnboundedSender<FolderOpening>,
 ) -> io::Result<()> {
     let thread = thread::Builder::new().name("folder-opener".to_owned());
-    thread.spawn(move || open_at_last(&*source, &opened))?;
+    thread.spawn(move || {
+        while before.blocking_recv().is_some() {}
+        open_at_last(&*source, &opened);
+    })?;
     Ok(())
 }
 
--- a/crates/control/tests/folder_opener.rs
+++ b/crates/control/tests/folder_opener.rs
@@ -2,10 +2,16 @@
 
 use std::fs;
 use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::sync::mpsc::unbounded_channel;
+
+use cowslip_control::folder_opener;
 use cowslip_control::folder_opener::FolderOpener;
 use cowslip_control::folder_opener::FolderSource;
 use cowslip_control::member_store::StoreError;
+use cowslip_core::agreement::AgreedEvent;
 use cowslip_core::agreement::HardState;
 use cowslip_core::agreement::WriteBatch;
 
@@ -67,6 +73,21 @@
     assert_eq!(opening.folder.saved.hard, HardState::default());
 }
 
+// Guards against two stores that write to one folder: the disk hangs in a write
+// while the folder is left.
+#[test]
+fn a_folder_is_opened_again_only_once_the_store_before_has_ended() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let source = Arc::new(opener(folder.path(), true));
+    let (hanging, before) = unbounded_channel::<AgreedEvent>();
+    let (opened, mut openings) = unbounded_channel();
+    folder_opener::spawn(source, before, opened).expect("a thread");
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(openings.try_recv().is_err());
+    drop(hanging);
+    assert!(openings.blocking_recv().is_some());
+}
+
 // Guards against the loss of a folder that operators see to themselves.
 #[test]
 fn a_rolled_back_folder_is_left_to_operators_who_list_the_members() {
