--- a/crates/core/src/claim/holder.rs
+++ b/crates/core/src/claim/holder.rs
@@ -19,7 +19,7 @@
 const MEMORY_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Bytes counted for a key besides its kept answer: record, table and
-/// queue entry. Measured as 250 (`claim_cost`), rounded up.
+/// queue entry.
 const KEY_BYTES: usize = 300;
 
 /// What a holder knows of a key.
--- a/crates/core/src/load/caller_ages.rs
+++ b/crates/core/src/load/caller_ages.rs
@@ -23,8 +23,7 @@
 /// its like: callers' settings change.
 const KEPT: Duration = Duration::from_secs(30);
 
-/// By this part of it callers' times differ among themselves: a sixth, where
-/// 15 in 100 were seen.
+/// By this part of it callers' times differ among themselves.
 const SPREAD_PART: u32 = 6;
 
 /// Routes held at most; a service has tens.
--- a/crates/core/src/load/queue_order.rs
+++ b/crates/core/src/load/queue_order.rs
@@ -6,10 +6,8 @@
 //! wait before it is served or refused. So the whole queue is open to a burst
 //! and only a small part of it while the queue stands.
 //!
-//! Oldest first was measured against newest first, and against a rule that
-//! turns from one to the other while the queue stands. In a queue kept short
-//! it answers as many in time or more, and refuses sooner; docs/design/load.md
-//! has the figures.
+//! The oldest goes first: in a queue kept short that answers as many in time as
+//! newest first, or more, and refuses sooner (docs/design/load.md).
 
 use std::time::Duration;
 
--- a/crates/core/src/load/server_pool.rs
+++ b/crates/core/src/load/server_pool.rs
@@ -8,9 +8,8 @@
 //! to a server, so a hot key spreads like any other load.
 //!
 //! The failure domain of the entry node comes first, since every other hop
-//! costs 1.5 ms; others are looked at once the near servers are filled.
-//! Widening with the time waited, after the windows of the matchmaking
-//! paper, was tried and changed nothing: calls wait at the servers, not here.
+//! costs 1.5 ms; others are looked at once the near servers are filled. The
+//! choice does not widen with the time waited: calls wait at the servers.
 //!
 //! A choice costs the same for three servers and for hundreds.
 
--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -109,6 +109,24 @@
     disk.entries.extend(batch.entries);
 }
 
+impl Instance {
+    /// An instance with an empty folder, not started yet.
+    fn new(at: usize, seeds: Vec<usize>, random: &mut SmallRng) -> Self {
+        Self {
+            member: None,
+            disk: SavedState::default(),
+            unsynced: Vec::new(),
+            folder: at as u64 + 1,
+            starts: 0,
+            gone: false,
+            seeds,
+            stalled_until: Duration::ZERO,
+            pace: random.random_range(955..=1_045),
+            started: Duration::ZERO,
+        }
+    }
+}
+
 impl Fleet {
     pub fn new(founders: usize, others: usize, seed: u64) -> Self {
         Self::joining(founders, others, 0, seed)
@@ -125,18 +143,8 @@
         let mut random = SmallRng::seed_from_u64(seed);
         let mut instances = Vec::new();
         for at in 0..founders + others {
-            instances.push(Instance {
-                member: None,
-                disk: SavedState::default(),
-                unsynced: Vec::new(),
-                folder: at as u64 + 1,
-                starts: 0,
-                gone: false,
-                seeds: (0..founders).collect(),
-                stalled_until: Duration::ZERO,
-                pace: random.random_range(955..=1_045),
-                started: Duration::ZERO,
-            });
+            let seeds = (0..founders).collect();
+            instances.push(Instance::new(at, seeds, &mut random));
         }
         let mut fleet = Self {
             groups: vec![0; instances.len()],
@@ -201,18 +209,8 @@
     pub fn add(&mut self, seeds: Vec<usize>) -> usize {
         let at = self.instances.len();
         self.groups.push(0);
-        self.instances.push(Instance {
-            member: None,
-            disk: SavedState::default(),
-            unsynced: Vec::new(),
-            folder: at as u64 + 1,
-            starts: 0,
-            gone: false,
-            seeds,
-            stalled_until: Duration::ZERO,
-            pace: self.random.random_range(955..=1_045),
-            started: Duration::ZERO,
-        });
+        let instance = Instance::new(at, seeds, &mut self.random);
+        self.instances.push(instance);
         self.start(at);
         at
     }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -251,24 +251,14 @@
                 actix_rt::time::sleep(time).await;
                 self.signal(place, Signal::SIGCONT)?;
             }
-            Fault::Kill(place, time) => {
-                self.fleet.process(place).borrow_mut().kill()?;
-                actix_rt::time::sleep(time).await;
-                self.start(place).await?;
-            }
+            Fault::Kill(place, time) => self.kill(place, time, |_| Ok(())).await?,
             Fault::TornWrite(at, time) => {
-                let place = Place::Control(at);
-                self.fleet.process(place).borrow_mut().kill()?;
-                self.fleet.tear_log(at)?;
-                actix_rt::time::sleep(time).await;
-                self.start(place).await?;
+                let tear = |fleet: &SoakFleet| fleet.tear_log(at);
+                self.kill(Place::Control(at), time, tear).await?;
             }
             Fault::Wipe(at, time) => {
-                let place = Place::Control(at);
-                self.fleet.process(place).borrow_mut().kill()?;
-                self.fleet.empty_folder(at)?;
-                actix_rt::time::sleep(time).await;
-                self.start(place).await?;
+                let empty = |fleet: &SoakFleet| fleet.empty_folder(at);
+                self.kill(Place::Control(at), time, empty).await?;
             }
             Fault::Replace(at, time) => self.replace(at, time).await?,
             Fault::ReplaceAndKillAll(at, time) => {
@@ -296,6 +286,19 @@
         Ok(())
     }
 
+    /// Kills a process, has `harm` done to what it leaves, and starts it again.
+    async fn kill(
+        &self,
+        place: Place,
+        time: Duration,
+        harm: impl FnOnce(&SoakFleet) -> Result<(), SoakError>,
+    ) -> Result<(), SoakError> {
+        self.fleet.process(place).borrow_mut().kill()?;
+        harm(&self.fleet)?;
+        actix_rt::time::sleep(time).await;
+        self.start(place).await
+    }
+
     async fn kill_all(&self, time: Duration) -> Result<(), SoakError> {
         for place in self.fleet.places() {
             self.fleet.process(place).borrow_mut().kill()?;
@@ -310,11 +313,8 @@
     /// Replaces a control instance; the others hear of its successor's address
     /// once it has started.
     async fn replace(&self, at: usize, time: Duration) -> Result<(), SoakError> {
-        let place = Place::Control(at);
-        self.fleet.process(place).borrow_mut().kill()?;
-        self.fleet.replace_control(at)?;
-        actix_rt::time::sleep(time).await;
-        self.start(place).await?;
+        let replace = |fleet: &SoakFleet| fleet.replace_control(at);
+        self.kill(Place::Control(at), time, replace).await?;
         for other in (0..CONTROLS).filter(|other| *other != at) {
             self.signal(Place::Control(other), Signal::SIGHUP)?;
         }
