Calls that a repeated run makes are charged to the called service's budget

On the users' platform servers send their calls by the callers' listener, so nothing tells them from callers'.

Ruled out: several budgets a service, plans made twice, the log's 340 "retries" (a line was written also where the retry was then refused; it is now written only where another server is asked).

Change: a further try tells the server's node (cowslip-repeats); the node knows which part of the running requests are repeats and charges it to the called service's budget with each call that its server may make. A node whose share of the sum is below one stakes it instead of rounding up: 300 nodes held 300 retries where 40 are allowed.

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -26,6 +26,7 @@
 use crate::document::ServiceSpec;
 use crate::load::answer_loss::AnswerWorth;
 use crate::load::fleet_servers::FleetServers;
+use crate::load::repeat_share::RepeatShare;
 use crate::load::retry_budget::BudgetTerms;
 use crate::load::server_load::ToldLoad;
 use crate::load::server_pool::ChoiceNeed;
@@ -99,6 +100,8 @@
     pub verdict: CallVerdict,
     /// Listener it came in by.
     pub origin: CallOrigin,
+    /// How likely its next try repeats work at a backend server.
+    pub repeats: RepeatShare,
     idempotent: bool,
     /// When its caller began to ask, over earlier calls too.
     asked_at: Duration,
@@ -364,6 +367,7 @@
             verdict: CallVerdict::NotRun,
             idempotent,
             origin: head.origin,
+            repeats: RepeatShare::FIRST,
             asked_at: now.saturating_sub(age),
             caller_until: head.deadline.map(|deadline| now + deadline),
             target_at: target.map(|target| now + target.saturating_sub(age)),
@@ -389,6 +393,15 @@
         Ok(plan)
     }
 
+    /// A request that is itself a repeat makes this call, as likely as
+    /// `repeats` says: it counts among the retries of the called service.
+    pub fn charge_repeats(&mut self, plan: &mut CallPlan, repeats: RepeatShare) {
+        plan.repeats = repeats;
+        if let Some(pressure) = self.pressures.get_mut(&plan.service) {
+            pressure.budget.inherit(repeats);
+        }
+    }
+
     fn turned_away(&mut self, now: Duration, plan: &CallPlan) {
         let Some(until) = plan.caller_until else {
             return;
@@ -530,6 +543,7 @@
             // Failed by a version on trial, it is not for that one again.
             let spec = self.snapshot.document.services.get(&plan.service);
             plan.version = spec.map(|spec| Arc::clone(&spec.version));
+            plan.repeats = RepeatShare::REPEAT;
         }
         plan.tries.spend(failure);
         let tries_left = !plan.tries.is_spent();
@@ -545,7 +559,7 @@
         // it is part of the search, whose length the tries bound.
         let full = evidence == ServerEvidence::Full && !plan.seeks_slots;
         let costs = failure.reached_server() || full;
-        if costs && !pressure.budget.spend() {
+        if costs && !pressure.budget.spend(&mut self.rng) {
             return NextStep::Refuse(match plan.verdict {
                 // Its caller may come back sooner than to a full service.
                 CallVerdict::NotRun if failure.reason == RefusalReason::ServerRefused => {
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -19,6 +19,7 @@
 pub mod late_room;
 pub mod outlier_watch;
 pub mod queue_order;
+pub mod repeat_share;
 pub mod retry_advice;
 pub mod retry_budget;
 pub mod returning_callers;
--- a/crates/core/src/load/call_queue.rs
+++ b/crates/core/src/load/call_queue.rs
@@ -20,6 +20,7 @@
 use crate::load::customer_lane::CustomerLane;
 use crate::load::fair_tags::FairTags;
 use crate::load::queue_order::QueueOrder;
+use crate::load::repeat_share::RepeatShare;
 
 /// Part of the room that a lane keeps against more urgent lanes: an eighth,
 /// so that the six lanes together cannot reserve all of it.
@@ -59,6 +60,8 @@
     pub late_at: Option<Duration>,
     /// Work it is expected to be.
     pub cost: Duration,
+    /// How likely it repeats work at a backend server.
+    pub repeats: RepeatShare,
 }
 
 impl WaitingCall {
--- a/crates/core/src/load/retry_budget.rs
+++ b/crates/core/src/load/retry_budget.rs
@@ -12,6 +12,11 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::Rng;
+
+use crate::load::repeat_share::RepeatShare;
+
 /// Retries saved up at most by one node, and held at the start, where the
 /// fleet sets no sum of its own: a loss of one server touches about its
 /// slots' worth of calls.
@@ -47,12 +52,11 @@
                 saved_max: SAVED_MAX,
             };
         }
-        // At least one, or a small share could never buy a whole retry.
         let share = burst as f64 / nodes.max(1) as f64;
         Self {
             per_try,
             per_second: 0.0,
-            saved_max: share.max(1.0),
+            saved_max: share,
         }
     }
 }
@@ -61,6 +65,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     saved: Option<f64>,
+    /// Whether this node may never save up a whole retry.
+    staked: bool,
     at: Duration,
 }
 
@@ -69,18 +75,34 @@
     pub fn earn(&mut self, now: Duration, terms: BudgetTerms) {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
+        self.staked = terms.saved_max < 1.0;
         let saved = self.saved.unwrap_or(terms.saved_max);
         let earned = terms.per_try + passed * terms.per_second;
         self.saved = Some((saved + earned).min(terms.saved_max));
     }
 
+    /// A call came in that may repeat work of an earlier one. It is served
+    /// whatever is left; retries wait until it has been earned.
+    pub fn inherit(&mut self, repeats: RepeatShare) {
+        let saved = self.saved.unwrap_or(SAVED_MAX);
+        self.saved = Some(saved - repeats.expected());
+    }
+
     /// Spends one retry; false where none is left.
-    pub fn spend(&mut self) -> bool {
+    ///
+    /// A node that can save up less than one stakes it for a whole one. Guards
+    /// against many nodes with such shares: rounded up they exceed the sum
+    /// together, rounded down none could ever retry.
+    pub fn spend(&mut self, rng: &mut SmallRng) -> bool {
         let saved = self.saved.unwrap_or(SAVED_MAX);
-        if saved < 1.0 {
+        if saved >= 1.0 {
+            self.saved = Some(saved - 1.0);
+            return true;
+        }
+        if saved <= 0.0 || !self.staked {
             return false;
         }
-        self.saved = Some(saved - 1.0);
-        true
+        self.saved = Some(0.0);
+        rng.random_bool(saved)
     }
 }
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -17,6 +17,7 @@
 use crate::load::late_room;
 use crate::load::queue_order::QueueOrder;
 use crate::load::queue_order::StandingQueue;
+use crate::load::repeat_share::RepeatShare;
 use crate::load::service_times::ServiceTimes;
 use crate::load::timely_queue::TimelyQueue;
 use crate::outbound_calls::OutboundCalls;
@@ -71,6 +72,8 @@
     pub wait_max: Option<Duration>,
     /// True where a backend server makes it while it serves another.
     pub inner: bool,
+    /// How likely it repeats work at a backend server.
+    pub repeats: RepeatShare,
 }
 
 /// How a call that held a slot ended.
@@ -120,6 +123,7 @@
     route: Arc<str>,
     length: JobLength,
     started_at: Duration,
+    repeats: RepeatShare,
     /// Jobs at the server when it started, itself included.
     beside: u32,
     outbound: OutboundMark,
@@ -255,6 +259,7 @@
             give_up_at: now + call.left.saturating_sub(work).min(patience),
             late_at: self.late_at(now, &call),
             cost: self.times.cost(&call.route),
+            repeats: call.repeats,
             route: call.route,
             customer: call.customer,
             priority: call.priority,
@@ -322,6 +327,11 @@
         Some((Arc::clone(&call.route), work))
     }
 
+    /// How likely a request that the server runs now repeats earlier work.
+    pub fn repeats(&self) -> RepeatShare {
+        RepeatShare::mean(self.running.values().map(|call| call.repeats))
+    }
+
     fn has_free_slot(&self) -> bool {
         let announced = self.announced.as_ref();
         announced.is_some_and(|server| self.in_flight() < server.slots)
@@ -444,6 +454,7 @@
             route: call.route,
             length: call.length,
             started_at: now,
+            repeats: call.repeats,
             beside: self.in_flight() + 1,
             outbound: self.outbound.mark(),
         };
--- a/crates/core/tests/free_slots.rs
+++ b/crates/core/tests/free_slots.rs
@@ -12,6 +12,7 @@
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::document::CallPriority;
 use cowslip_core::load::answer_loss::AnswerWorth;
+use cowslip_core::load::repeat_share::RepeatShare;
 use cowslip_core::load::server_load::ToldLoad;
 use cowslip_core::load::server_pool::ChoiceNeed;
 use cowslip_core::load::server_pool::SearchCosts;
@@ -184,6 +185,7 @@
         target_left: Some(target),
         wait_max: (!stays).then_some(Duration::ZERO),
         inner: false,
+        repeats: RepeatShare::FIRST,
     }
 }
 
--- a/crates/core/tests/load_servers.rs
+++ b/crates/core/tests/load_servers.rs
@@ -151,13 +151,14 @@
         percent in 0..=100_u64,
     ) {
         let mut budget = RetryBudget::default();
+        let mut rng = SmallRng::seed_from_u64(1);
         let (mut first, mut again, mut now) = (0_u64, 0_u64, Duration::ZERO);
         for (earn, wait) in steps {
             now += millis(wait);
             if earn {
                 first += 1;
                 budget.earn(now, BudgetTerms::of(percent, 0, 1));
-            } else if budget.spend() {
+            } else if budget.spend(&mut rng) {
                 again += 1;
             }
         }
@@ -352,13 +353,14 @@
 fn nodes_share_the_retries_that_the_fleet_allows() {
     let nodes = 20;
     let mut spent = 0;
+    let mut rng = SmallRng::seed_from_u64(1);
     for _ in 0..nodes {
         let mut budget = RetryBudget::default();
         for step in 0..10 {
             let terms = BudgetTerms::of(15, 40, nodes);
             budget.earn(millis(step * 1_000), terms);
         }
-        while budget.spend() {
+        while budget.spend(&mut rng) {
             spent += 1;
         }
     }
--- /dev/null
+++ b/crates/core/tests/retry_sum.rs
@@ -0,0 +1,233 @@
+//! Repeats that a service gets from all nodes together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+
+use cowslip_core::control_state::ConfigSnapshot;
+use cowslip_core::directory::EndpointRecord;
+use cowslip_core::directory::EndpointStanding;
+use cowslip_core::document::FleetDocument;
+use cowslip_core::document::RepeatRule;
+use cowslip_core::document::RouteSpec;
+use cowslip_core::document::ServiceSpec;
+use cowslip_core::entry_router::CallHead;
+use cowslip_core::entry_router::CallOrigin;
+use cowslip_core::entry_router::EntryRouter;
+use cowslip_core::entry_router::NextStep;
+use cowslip_core::entry_router::TryFailure;
+use cowslip_core::load::repeat_share::RepeatShare;
+use cowslip_core::load::retry_budget::BudgetTerms;
+use cowslip_core::load::retry_budget::RetryBudget;
+use cowslip_core::refusal::RefusalReason;
+use cowslip_core::tuning::TuningKey;
+use cowslip_core::verdict::CallVerdict;
+use cowslip_core::version::ConfigVersion;
+
+/// Retries that the fleet allows for a hundred calls, and at once.
+const PERCENT: u64 = 15;
+const BURST: u64 = 42;
+
+/// Calls a second of the outer service, and seconds that are played: one
+/// window of the sum.
+const PER_SECOND: u64 = 140;
+const SECONDS: u64 = 10;
+
+const FAILED: TryFailure = TryFailure {
+    verdict: CallVerdict::Ran,
+    reason: RefusalReason::ServerFailed,
+};
+
+const SHED: TryFailure = TryFailure {
+    verdict: CallVerdict::NotRun,
+    reason: RefusalReason::ServerRefused,
+};
+
+fn record(service: &str, number: usize) -> EndpointRecord {
+    EndpointRecord {
+        instance: format!("{service}-{number}").into(),
+        service: service.into(),
+        version: "v1".into(),
+        failure_domain: "voss".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
+        slots: 9,
+        standing: EndpointStanding::Serving,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+/// An entry node of a fleet of `nodes` with two services.
+fn router(nodes: usize, seed: u64) -> EntryRouter {
+    let mut document = FleetDocument::default();
+    document.defaults.set(TuningKey::RetryPercent, PERCENT);
+    document.defaults.set(TuningKey::RetryBurst, BURST);
+    for name in ["contract", "records"] {
+        let spec = ServiceSpec {
+            version: "v1".into(),
+            ..ServiceSpec::default()
+        };
+        document.services.insert(name.into(), spec);
+        let route = RouteSpec {
+            path: format!("/{name}").into(),
+            service: name.into(),
+            repeat: Some(RepeatRule::Idempotent),
+            ..RouteSpec::default()
+        };
+        document.routes.push(route.into());
+    }
+    let mut router = EntryRouter::new("voss".into(), seed);
+    let swapped = router.swap(ConfigSnapshot {
+        version: ConfigVersion::new(1, 1),
+        document: document.into(),
+    });
+    assert_eq!(swapped, Ok(true));
+    let outer = nodes * 2 / 3;
+    let mut records = Vec::new();
+    for number in 0..nodes {
+        let service = if number < outer {
+            "contract"
+        } else {
+            "records"
+        };
+        records.push(record(service, number));
+    }
+    router.merge(Duration::ZERO, records);
+    router
+}
+
+struct ServiceCounts {
+    calls: u64,
+    repeats: u64,
+}
+
+/// One call and all its tries; `ends` says whether a try fails, and how.
+fn run_call(
+    router: &mut EntryRouter,
+    now: Duration,
+    head: &CallHead<'_>,
+    repeats: RepeatShare,
+    counts: &mut ServiceCounts,
+    mut ends: impl FnMut(Arc<str>, RepeatShare) -> Option<TryFailure>,
+) {
+    let mut plan = router.plan(now, head).expect("there is a route");
+    router.charge_repeats(&mut plan, repeats);
+    counts.calls += 1;
+    loop {
+        let Ok(server) = router.begin(now, &mut plan) else {
+            return;
+        };
+        counts.repeats += u64::from(plan.repeats == RepeatShare::REPEAT);
+        let Some(failure) = ends(Arc::clone(&server.instance), plan.repeats) else {
+            return router.abandoned(now, &server.instance);
+        };
+        match router.failed(now, &mut plan, &server, failure) {
+            NextStep::Retry(_) => {}
+            NextStep::Refuse(_) => return,
+        }
+    }
+}
+
+fn head(path: &str, origin: CallOrigin) -> CallHead<'_> {
+    CallHead {
+        host: "",
+        path,
+        origin,
+        customer: "grower",
+        idempotent: true,
+        deadline: None,
+    }
+}
+
+/// Repeats at the inner service and its calls, where 7 of 20 runs of the outer
+/// one fail after they have called it, and a third of its own tries are shed.
+fn inner_repeats(nodes: usize) -> ServiceCounts {
+    let mut rng = SmallRng::seed_from_u64(nodes as u64);
+    let mut routers: Vec<EntryRouter> = Vec::new();
+    for seed in 0..nodes {
+        routers.push(router(nodes, seed as u64));
+    }
+    let mut outer = ServiceCounts {
+        calls: 0,
+        repeats: 0,
+    };
+    let mut inner = ServiceCounts {
+        calls: 0,
+        repeats: 0,
+    };
+    for number in 0..PER_SECOND * SECONDS {
+        let now = Duration::from_secs(1) * number as u32 / PER_SECOND as u32;
+        let mut runs = Vec::new();
+        let entry = rng.random_range(0..nodes);
+        let outside = head("/contract", CallOrigin::Outside);
+        run_call(
+            &mut routers[entry],
+            now,
+            &outside,
+            RepeatShare::FIRST,
+            &mut outer,
+            |server, repeats| {
+                runs.push((server, repeats));
+                rng.random_bool(0.35).then_some(FAILED)
+            },
+        );
+        for (server, repeats) in runs {
+            let node: usize = server
+                .rsplit_once('-')
+                .and_then(|(_, number)| number.parse().ok())
+                .expect("names end in a number");
+            let own = head("/records", CallOrigin::Backend);
+            run_call(
+                &mut routers[node],
+                now,
+                &own,
+                repeats,
+                &mut inner,
+                |_, _| rng.random_bool(0.33).then_some(SHED),
+            );
+        }
+    }
+    inner
+}
+
+// A server of the contract service fails a third of its calls, and one of the
+// records service sheds. Each repeated contract call asks the records service
+// anew, its retries come on top, and together they exceed what the fleet
+// allows for it.
+#[test]
+fn repeats_of_an_outer_call_count_at_the_service_it_calls() {
+    for nodes in [6, 9, 60, 300] {
+        let inner = inner_repeats(nodes);
+        let allowed = inner.calls * 20 / 100 + 56;
+        assert!(
+            inner.repeats <= allowed,
+            "{nodes} nodes: {} repeats for {} calls, {allowed} allowed",
+            inner.repeats,
+            inner.calls
+        );
+    }
+}
+
+// A fleet of 300 starts and a server is lost. If each node held a whole retry
+// at least, 300 would go out where 40 are allowed; if it held none, no call
+// could be tried again.
+#[test]
+fn starting_nodes_hold_no_more_than_the_sum() {
+    for nodes in [1, 6, 60, 300, 1_000] {
+        let mut rng = SmallRng::seed_from_u64(nodes as u64);
+        let terms = BudgetTerms::of(0, 40, nodes);
+        let mut spent = 0;
+        for _ in 0..nodes {
+            let mut budget = RetryBudget::default();
+            budget.earn(Duration::ZERO, terms);
+            for _ in 0..50 {
+                spent += u64::from(budget.spend(&mut rng));
+            }
+        }
+        assert!((20..=53).contains(&spent), "{nodes} nodes: {spent}");
+    }
+}
--- a/crates/core/tests/timely_overload.rs
+++ b/crates/core/tests/timely_overload.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 
 use cowslip_core::document::CallPriority;
+use cowslip_core::load::repeat_share::RepeatShare;
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
@@ -89,6 +90,7 @@
             target_left: Some(TARGET),
             wait_max: None,
             inner: false,
+            repeats: RepeatShare::FIRST,
         };
         self.gate.offer(now, ticket, call)
     }
--- a/crates/node/src/call_dialect.rs
+++ b/crates/node/src/call_dialect.rs
@@ -24,6 +24,9 @@
     pub not_run: HeaderName,
     /// True where callers read fractions of a second in `Retry-After`.
     pub fractions: bool,
+    /// True where backend servers send their own calls by the callers'
+    /// listener, where nothing tells them from those of callers.
+    pub mixed_callers: bool,
 }
 
 impl Default for CallDialect {
@@ -36,6 +39,7 @@
             caller_service: HeaderName::from_static(call_headers::CALLER_SERVICE),
             not_run: HeaderName::from_static(call_headers::NOT_RUN),
             fractions: false,
+            mixed_callers: false,
         }
     }
 }
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -32,6 +32,9 @@
 pub const WORK_MS: &str = "cowslip-work-ms";
 /// Between nodes: there where a backend server makes the call.
 pub const INNER: &str = "cowslip-inner";
+/// Between nodes: thousandths of likelihood that the call repeats work at a
+/// backend server; absent for none.
+pub const REPEATS: &str = "cowslip-repeats";
 /// Between nodes: 1 where the backend server is past its cold start.
 pub const WARM: &str = "cowslip-warm";
 /// Names a request; backend servers echo it.
@@ -69,7 +72,7 @@
 
 /// Headers that each hop writes anew, so a caller's or a backend server's
 /// own are never passed on.
-const REWRITTEN: [&str; 20] = [
+const REWRITTEN: [&str; 21] = [
     "host",
     "content-length",
     "expect",
@@ -90,6 +93,7 @@
     WAIT_MAX_MS,
     WORK_MS,
     WAIT_MS,
+    REPEATS,
 ];
 
 /// Whether a header goes on to the next hop as it is.
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -21,6 +21,7 @@
 use cowslip_core::entry_router::TryFailure;
 use cowslip_core::entry_router::TryReport;
 use cowslip_core::load::deadline_budget;
+use cowslip_core::load::repeat_share::RepeatShare;
 use cowslip_core::load::server_load::ToldLoad;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::rollout::evidence::MeasuredTry;
@@ -53,6 +54,7 @@
 use crate::entry_task::OwnedHead;
 use crate::entry_task::PlannedTry;
 use crate::entry_task::TryAnswer;
+use crate::gate_task::GateView;
 use crate::hop::HopAnswer;
 use crate::keyed_call;
 use crate::node_stage::NodeStage;
@@ -72,6 +74,8 @@
     pub service: Option<Arc<str>>,
     /// Key between nodes.
     pub system_key: AccessKey,
+    /// What can be seen of the gate beside this node's backend server.
+    pub view: GateView,
     /// The routing task.
     pub entry: mpsc::Sender<EntryMessage>,
     /// Claims of calls with a key.
@@ -180,6 +184,10 @@
             customer: customer.to_owned(),
             idempotent: call_headers::is_idempotent(request.method()),
             deadline,
+            repeats: match origin {
+                CallOrigin::Outside if !self.dialect.mixed_callers => RepeatShare::FIRST,
+                _ => self.view.repeats(),
+            },
         };
         let parts = CallParts::of(&request, &self.dialect);
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
@@ -304,9 +312,7 @@
             if !body.is_held() {
                 planned.plan.forbid_retry();
             }
-            if failure.reason != RefusalReason::NoFreeSlot {
-                self.log.retried(id, &planned.server.instance, failure);
-            }
+            let server = Arc::clone(&planned.server.instance);
             let (reply, answer) = oneshot::channel();
             let so_far = planned.plan.verdict.max(failure.verdict);
             let failed = EntryMessage::Failed(Box::new(planned), failure, reply);
@@ -321,6 +327,9 @@
                 }
                 (Err(refusal), None) => return Err(refusal),
             };
+            if failure.reason != RefusalReason::NoFreeSlot {
+                self.log.retried(id, &server, failure);
+            }
             if let Some(reason) = planned.retry {
                 self.metrics.retried(reason);
             }
@@ -403,6 +412,10 @@
         if plan.origin == CallOrigin::Backend {
             told.push((call_headers::INNER, "1".to_owned()));
         }
+        if plan.repeats > RepeatShare::FIRST {
+            let share = plan.repeats.per_mille().to_string();
+            told.push((call_headers::REPEATS, share));
+        }
         if let Some(service) = &self.service {
             told.push((call_headers::CALLER_SERVICE, service.to_string()));
         }
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -22,6 +22,7 @@
 use cowslip_core::entry_router::ServerTry;
 use cowslip_core::entry_router::TryFailure;
 use cowslip_core::entry_router::TryReport;
+use cowslip_core::load::repeat_share::RepeatShare;
 use cowslip_core::load::server_load::ToldLoad;
 use cowslip_core::move_board::NodeReport;
 use cowslip_core::refusal::RefusalReason;
@@ -61,6 +62,8 @@
     pub idempotent: bool,
     /// Time the caller gives it.
     pub deadline: Option<Duration>,
+    /// How likely a request that is itself a repeat makes this call.
+    pub repeats: RepeatShare,
 }
 
 /// A call and the server that gets its next try.
@@ -267,6 +270,7 @@
 
     fn admit(&mut self, head: &OwnedHead) -> TryAnswer {
         let now = self.started.elapsed();
+        let repeats = head.repeats;
         let head = CallHead {
             host: &head.host,
             path: &head.path,
@@ -275,13 +279,24 @@
             idempotent: head.idempotent,
             deadline: head.deadline,
         };
-        let plan = self.router.plan(now, &head).map_err(|reason| CallRefusal {
+        let mut plan = self.router.plan(now, &head).map_err(|reason| CallRefusal {
             reason,
             verdict: CallVerdict::NotRun,
         })?;
+        if self.may_be_own_server(&plan) {
+            self.router.charge_repeats(&mut plan, repeats);
+        }
         self.begin(now, plan, None)
     }
 
+    /// False where the backend server beside this node does not make the
+    /// call: servers do not call their own service.
+    fn may_be_own_server(&self, plan: &CallPlan) -> bool {
+        let own = self.router.directory().get(&self.instance);
+        plan.origin == CallOrigin::Backend
+            || own.is_some_and(|record| record.service != plan.service)
+    }
+
     fn begin(
         &mut self,
         now: Duration,
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -18,6 +18,7 @@
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::endpoint_announcer::EndpointAnnouncer;
 use cowslip_core::load::call_queue::CallTicket;
+use cowslip_core::load::repeat_share::RepeatShare;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::rollout::cold_start::ColdStart;
 use cowslip_core::server_gate::AnnouncedServer;
@@ -121,6 +122,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct GateView {
     wait: Rc<Cell<Duration>>,
+    repeats: Rc<Cell<RepeatShare>>,
     works: Rc<RefCell<HashMap<Arc<str>, Duration>>>,
 }
 
@@ -130,6 +132,11 @@
         self.wait.get()
     }
 
+    /// How likely a request that the server runs now repeats earlier work.
+    pub fn repeats(&self) -> RepeatShare {
+        self.repeats.get()
+    }
+
     /// What a job on `route` takes lately, where that is known.
     pub fn work(&self, route: &str) -> Option<Duration> {
         self.works.borrow().get(route).copied()
@@ -204,6 +211,7 @@
                 }
             }
             self.view.wait.set(self.gate.expected_wait());
+            self.view.repeats.set(self.gate.repeats());
         }
     }
 
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -251,6 +251,7 @@
             dialect: Rc::clone(&dialect),
             service: settings.service.clone(),
             system_key: settings.system_key.clone(),
+            view: gate_view.clone(),
             entry,
             claims,
             metrics: entry_metrics,
