Starting nodes wait for a source's processor, not for a fixed rate

Callers saw: after the loss of everything 281 nodes refused them as no-configuration for up to 3.5 s, while control instances were idle by any measure but one.

Change: a window of followers under way that grows while they catch up about as quickly as the quickest, is cut where they take a multiple of it, and begins with a share by bytes (catch_up_window). The leader tells followers which instances follow it (source_list); nodes turn to one nearby, spread by their seed, and keep one that answers. Wakes come apart by what the last one took (follower_queue).

--- a/crates/control/benches/fanout_cost/main.rs
+++ b/crates/control/benches/fanout_cost/main.rs
@@ -232,6 +232,7 @@
                 snapshot,
                 endpoints,
                 run: 1,
+                sources: None,
             };
             relay.source.install(now, news);
         });
--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -12,6 +12,7 @@
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
 
 use cowslip_core::control_state::AcceptedChange;
 use cowslip_core::control_state::ConfigSnapshot;
@@ -23,6 +24,7 @@
 use cowslip_core::news_source::SourceIdentity;
 use cowslip_core::node_presence::NodePresence;
 use cowslip_core::report_gather::ReportBatch;
+use cowslip_core::source_list::SourcePlace;
 use cowslip_core::source_proof::SourceProof;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
@@ -96,6 +98,8 @@
     pub snapshot: ConfigSnapshot,
     /// True where starting followers wait for a confirmation.
     pub wants_confirmation: bool,
+    /// Digest of the list of control instances that is told here.
+    pub sources: u64,
 }
 
 /// News that came from the leader.
@@ -111,6 +115,8 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The leader's run.
     pub run: u64,
+    /// Control instances to ask, where the list is another one.
+    pub sources: Option<Vec<SourcePlace>>,
 }
 
 struct FanoutTask {
@@ -126,12 +132,12 @@
 /// Starts the task.
 pub fn spawn(
     instance: Arc<str>,
-    failure_domain: Arc<str>,
+    place: SourcePlace,
     metrics: SourceMetrics,
 ) -> mpsc::Sender<FanoutMessage> {
     let identity = SourceIdentity {
         instance: Arc::clone(&instance),
-        failure_domain,
+        place,
         run: wall_clock::since_epoch().as_nanos() as u64,
     };
     let task = FanoutTask {
@@ -161,13 +167,19 @@
 impl FanoutTask {
     async fn run(mut self, mut receiver: mpsc::Receiver<FanoutMessage>) {
         let mut tick = actix_rt::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked = BootInstant::now();
         loop {
             let message = tokio::select! {
                 message = receiver.recv() => match message {
                     Some(message) => Some(message),
                     None => return,
                 },
-                _ = tick.tick() => None,
+                _ = tick.tick() => {
+                    self.source.late(ticked.elapsed().saturating_sub(TICK));
+                    ticked = BootInstant::now();
+                    None
+                }
             };
             let now = self.started.elapsed();
             if let Some(leader) = &self.leader {
@@ -192,6 +204,7 @@
                 let _ = reply.send(UplinkState {
                     snapshot: self.source.current().clone(),
                     wants_confirmation: self.source.wants_confirmation(),
+                    sources: self.source.sources(),
                 });
             }
             FanoutMessage::Moves(changes, reply) => {
@@ -236,6 +249,7 @@
             snapshot: news.snapshot,
             endpoints: news.endpoints,
             run: news.run,
+            sources: news.sources,
         };
         self.source.install(now, news);
     }
--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -13,6 +14,7 @@
 use cowslip_core::directory_follower::DirectoryFollower;
 use cowslip_core::document::validate;
 use cowslip_core::report_gather::GATHER_TIME;
+use cowslip_core::source_list::SourcePlace;
 use cowslip_core::version_follower::FollowStep;
 use cowslip_core::version_follower::VersionFollower;
 use cowslip_wire::boot_instant::BootInstant;
@@ -56,12 +58,14 @@
 /// Follows the leader, whoever it is, and installs its news.
 pub async fn follow(
     instance: Arc<str>,
+    place: SourcePlace,
     leader: LeaderWatch,
     client: PeerClient,
     task: mpsc::Sender<FanoutMessage>,
 ) {
     let mut uplink = LeaderFollower {
         instance,
+        place,
         client,
         task,
         follower: VersionFollower::new(Duration::ZERO),
@@ -69,9 +73,15 @@
         directory: DirectoryFollower::default(),
         started: BootInstant::now(),
     };
+    let mut changes = leader.clone();
     loop {
         let Some(address) = leader_elsewhere(&leader) else {
-            actix_rt::time::sleep(RETRY_PAUSE).await;
+            // A node that starts here waits for the first answer of a leader
+            // just elected.
+            let changed = changes.changed();
+            if let Ok(Err(_)) = actix_rt::time::timeout(RETRY_PAUSE, changed).await {
+                return;
+            }
             continue;
         };
         match uplink.turn(address).await {
@@ -88,6 +98,7 @@
 
 struct LeaderFollower {
     instance: Arc<str>,
+    place: SourcePlace,
     client: PeerClient,
     task: mpsc::Sender<FanoutMessage>,
     follower: VersionFollower,
@@ -121,6 +132,8 @@
             directory: self.directory.ask(),
             wait_ms: wait.as_millis() as u64,
             node_domain: None,
+            serves: Some(self.place.clone()),
+            sources: state.sources,
         };
         let sent_at = BootInstant::now();
         let reply = self.client.send(address, &call, FOLLOW_PATIENCE).await?;
@@ -140,7 +153,7 @@
             answer.acknowledged,
             answer.config,
         );
-        let snapshot = self.fetch(address, step).await?;
+        let snapshot = self.fetch(address, step, answer.chunk).await?;
         let endpoints = self.directory.take(answer.directory);
         let news = InstalledNews {
             sent_at,
@@ -148,18 +161,25 @@
             snapshot,
             endpoints,
             run: self.directory.place().run,
+            sources: answer.sources,
         };
         let sent = self.task.send(FanoutMessage::Install(Box::new(news))).await;
         Ok(sent.is_ok())
     }
 
-    /// Fetches chunks as long as the follower wants them; the snapshot that
+    /// Fetches chunks as long as the follower wants them, after the one that
+    /// came along; the snapshot that
     /// is valid and newer, if one came of it.
     async fn fetch(
         &mut self,
         address: SocketAddr,
         mut step: FollowStep,
+        along: Option<Bytes>,
     ) -> Result<Option<ConfigSnapshot>, PeerError> {
+        if let (FollowStep::Fetch { at: 0, .. }, Some(chunk)) = (&step, along) {
+            let now = self.started.elapsed();
+            step = self.follower.chunk(now, Some(&chunk));
+        }
         while let FollowStep::Fetch { version, at } = step {
             let call = ChunkCall { version, at };
             let answer = self.client.send(address, &call, FOLLOW_PATIENCE).await?;
--- a/crates/core/src/config_history.rs
+++ b/crates/core/src/config_history.rs
@@ -29,6 +29,9 @@
 /// two-year size, and all of them 16 MB of a control instance.
 const BASES_KEPT: usize = 64;
 
+/// Largest snapshot whose chunk goes along with the news that name it.
+const ALONG_BYTES_MAX: u32 = 16 * 1024;
+
 /// What a source tells of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigNews {
@@ -103,6 +106,15 @@
         ConfigNews::Snapshot(header, rest)
     }
 
+    /// Bytes of the whole configuration as followers get it; 0 before the
+    /// first.
+    pub fn snapshot_bytes(&mut self) -> u64 {
+        if self.current.version == ConfigVersion::ZERO {
+            return 0;
+        }
+        self.encoded().header().bytes.into()
+    }
+
     /// Chunk `at` of the encoded snapshot of `version`; `None` where that
     /// is not the one kept, and the follower must ask for news again.
     pub fn chunk(&self, version: ConfigVersion, at: usize) -> Option<Bytes> {
@@ -113,6 +125,16 @@
         encoded.chunk(at)
     }
 
+    /// The first chunk of a snapshot that `news` names, where it is small
+    /// enough to go along: one question less for each node of a herd.
+    pub fn first_chunk(&self, news: &ConfigNews) -> Option<Bytes> {
+        let ConfigNews::Snapshot(header, _) = news else {
+            return None;
+        };
+        let small = header.bytes <= ALONG_BYTES_MAX;
+        small.then(|| self.chunk(header.version, 0)).flatten()
+    }
+
     /// The encoded snapshot: the one at hand as long as a delta leads on
     /// from it, so that quick changes neither encode again nor take away a
     /// snapshot from under the followers that are fetching it.
--- a/crates/core/src/follow_exchange.rs
+++ b/crates/core/src/follow_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -9,6 +10,7 @@
 use crate::directory_follower::DirectoryAsk;
 use crate::directory_follower::DirectoryNews;
 use crate::move_board::NodeReport;
+use crate::source_list::SourcePlace;
 use crate::source_proof::SourceProof;
 use crate::version::ConfigVersion;
 
@@ -36,6 +38,12 @@
     /// Its failure domain, where it is a node whose moves are counted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub node_domain: Option<Arc<str>>,
+    /// Where it answers followers itself, where it is a control instance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub serves: Option<SourcePlace>,
+    /// Digest of the list of control instances that it holds.
+    #[serde(default)]
+    pub sources: u64,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -76,9 +84,15 @@
     pub source: SourceProof,
     /// News of the configuration.
     pub config: ConfigNews,
+    /// The first chunk of a snapshot that is named there, where it is small.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub chunk: Option<Bytes>,
     /// What the source knows a starting follower to have applied before.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub acknowledged: Option<ConfigVersion>,
     /// News of the directory.
     pub directory: DirectoryNews,
+    /// Control instances to ask, where the follower holds another list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sources: Option<Vec<SourcePlace>>,
 }
--- a/crates/core/src/follower_queue.rs
+++ b/crates/core/src/follower_queue.rs
@@ -20,6 +20,14 @@
 /// and the delay is a two-hundredth of the ten seconds for a change.
 pub const BATCH_TIME: Duration = Duration::from_millis(50);
 
+/// Longest time between two wakes, however busy the source is: a leaving
+/// server must be known everywhere within a second or two.
+const BATCH_MAX: Duration = Duration::from_millis(400);
+
+/// Time between two wakes in multiples of what the last one took: answers to
+/// followers that wait take a quarter of the processor at most.
+const BATCH_PART: u32 = 4;
+
 /// Names a waiting follower within one source.
 pub type FollowerId = u64;
 
@@ -35,6 +43,8 @@
     pub whole: bool,
     /// Revision of this source's directory that it has read up to.
     pub revision: u64,
+    /// Digest of the list of control instances that it holds.
+    pub sources: u64,
 }
 
 /// A follower that gets its answer now.
@@ -57,6 +67,7 @@
     next: FollowerId,
     news: bool,
     woken_at: Option<Duration>,
+    batch: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +100,18 @@
         id
     }
 
+    /// The source was late by `lag` with something it was to do since the
+    /// last wake: it is still busy with the answers.
+    ///
+    /// Load pattern: hundreds of servers come back within seconds, each
+    /// change wakes all followers, and answering them takes longer than the
+    /// time to the next wake.
+    pub fn late(&mut self, lag: Duration) {
+        let wanted = (lag * BATCH_PART).clamp(BATCH_TIME, BATCH_MAX);
+        let held = self.batch.unwrap_or(BATCH_TIME);
+        self.batch = Some(wanted.max(held));
+    }
+
     /// There is news for every waiting follower.
     pub fn note_news(&mut self) {
         self.news = true;
@@ -120,9 +143,10 @@
     }
 
     /// Takes out one follower that need not wait; `None` where news is about
-    /// to go out in a batch, which then answers it too.
+    /// to go out in a batch, which then answers it too. One that starts does
+    /// not wait for the batch: its callers are refused until it is answered.
     pub fn take(&mut self, id: FollowerId) -> Option<DueFollower> {
-        if self.news {
+        if self.news && !self.starting.contains(&id) {
             return None;
         }
         self.remove(&[id]).pop()
@@ -144,6 +168,7 @@
         if self.news && now >= self.wake_at() {
             self.news = false;
             self.woken_at = Some(now);
+            self.batch = None;
             return self.wake(freshness);
         }
         let mut ended = Vec::new();
@@ -180,7 +205,8 @@
     }
 
     fn wake_at(&self) -> Duration {
-        self.woken_at.map_or(Duration::ZERO, |at| at + BATCH_TIME)
+        let batch = self.batch.unwrap_or(BATCH_TIME);
+        self.woken_at.map_or(Duration::ZERO, |at| at + batch)
     }
 
     fn remove(&mut self, ids: &[FollowerId]) -> Vec<DueFollower> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ack_memory;
 pub mod agreement;
 pub mod call_try;
+pub mod catch_up_window;
 pub mod change;
 pub mod claim;
 pub mod config_delta;
@@ -38,6 +39,7 @@
 pub mod server_presence;
 pub mod server_runs;
 pub mod snapshot_chunks;
+pub mod source_list;
 pub mod source_proof;
 pub mod source_ring;
 pub mod tuning;
--- a/crates/core/src/news_source.rs
+++ b/crates/core/src/news_source.rs
@@ -31,6 +31,8 @@
 use crate::reconnect_admission::ReconnectCost;
 use crate::report_gather::ReportBatch;
 use crate::report_gather::ReportGather;
+use crate::source_list::SourceList;
+use crate::source_list::SourcePlace;
 use crate::source_proof::SourceFreshness;
 use crate::source_proof::SourceProof;
 use crate::version::ConfigVersion;
@@ -40,6 +42,13 @@
 /// Longest wait that a follower may ask for.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
+/// Bytes of an encoded directory record.
+const RECORD_BYTES: u64 = 160;
+
+/// How often the leader looks at which control instances follow it. A new
+/// leader waits as long: the others turn to it within that time.
+const SOURCES_TICK: Duration = Duration::from_millis(500);
+
 /// How often leases are judged; a tenth of their time.
 const LEASE_TICK: Duration = Duration::from_secs(1);
 
@@ -48,8 +57,8 @@
 pub struct SourceIdentity {
     /// Name of the instance.
     pub instance: Arc<str>,
-    /// Its failure domain.
-    pub failure_domain: Arc<str>,
+    /// Where it listens, and its failure domain.
+    pub place: SourcePlace,
     /// Differs between any two processes.
     pub run: u64,
 }
@@ -67,6 +76,8 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The leader's run, where the directory came from.
     pub run: u64,
+    /// Control instances to ask, where the list is another one.
+    pub sources: Option<Vec<SourcePlace>>,
 }
 
 /// One answer for any number of followers.
@@ -106,9 +117,11 @@
     gather: ReportGather,
     freshness: SourceFreshness,
     admission: ReconnectAdmission,
+    sources: SourceList,
     leading: bool,
     leader_run: u64,
     judge_at: Duration,
+    sources_at: Duration,
     counts: SourceCounts,
 }
 
@@ -128,9 +141,11 @@
             gather: ReportGather::default(),
             freshness: SourceFreshness::default(),
             admission: ReconnectAdmission::default(),
+            sources: SourceList::default(),
             leading: false,
             leader_run: 0,
             judge_at: Duration::ZERO,
+            sources_at: Duration::ZERO,
             counts: SourceCounts::default(),
         }
     }
@@ -167,6 +182,11 @@
         self.queue.has_starting() && self.current().version > ConfigVersion::ZERO
     }
 
+    /// Digest of the list of control instances that is told here.
+    pub fn sources(&self) -> u64 {
+        self.sources.digest()
+    }
+
     /// A chunk of the snapshot that an answer named.
     pub fn chunk(&self, version: ConfigVersion, at: usize) -> Option<Bytes> {
         self.history.chunk(version, at)
@@ -178,6 +198,7 @@
         // at the old one only: live servers would leave the directory.
         if leading && !self.leading {
             self.leases.renew_all(now);
+            self.sources_at = now + SOURCES_TICK;
         }
         self.leading = leading;
         self.freshness.lead(leading);
@@ -215,7 +236,11 @@
             refused: call.refused.unwrap_or_default(),
             whole: call.whole,
             revision,
+            sources: call.sources,
         };
+        if let Some(place) = call.serves.clone() {
+            self.sources.hear(now, place);
+        }
         let wait = Duration::from_millis(call.wait_ms).min(WAIT_MAX);
         let id = self.queue.wait(now, now + wait, place);
         self.names.insert(id, Arc::clone(&call.follower));
@@ -248,8 +273,11 @@
         call: &FollowCall,
         place: &FollowerPlace,
     ) -> Result<(), Duration> {
-        let first = call.directory.place.run != self.identity.run;
-        if !first || call.directory.parts.is_some() {
+        if call.directory.place.run == self.identity.run {
+            self.admission.caught_up(now, &call.follower);
+            return Ok(());
+        }
+        if call.directory.parts.is_some() {
             return Ok(());
         }
         let empty = call.directory.digest == 0 && !self.directory.is_empty();
@@ -257,9 +285,11 @@
         let cost = if light {
             ReconnectCost::Light
         } else {
-            ReconnectCost::Heavy
+            let config = self.history.snapshot_bytes();
+            ReconnectCost::Heavy(config + self.directory.len() as u64 * RECORD_BYTES)
         };
-        let admitted = self.admission.admit(now, cost, call.waited);
+        let follower = &call.follower;
+        let admitted = self.admission.admit(now, follower, cost, call.waited);
         match admitted {
             Ok(()) => self.counts.admitted += 1,
             Err(_) => self.counts.told_later += 1,
@@ -271,7 +301,8 @@
     /// waits for an answer that proves what was accepted before it asked.
     fn has_news(&self, now: Duration, place: &FollowerPlace) -> bool {
         let known = place.revision >= self.directory.revision();
-        if known && self.history.is_current(place) {
+        let placed = self.sources.news(place.sources).is_none();
+        if known && placed && self.history.is_current(place) {
             return false;
         }
         place.held > ConfigVersion::ZERO || self.freshness.confirms(now)
@@ -315,6 +346,12 @@
         for record in news.endpoints {
             self.merge(now, record);
         }
+        if news
+            .sources
+            .is_some_and(|places| self.sources.install(places))
+        {
+            self.queue.note_news();
+        }
         // Guards against records that only the old leader had been told:
         // after each change of leader the new one gets those of all
         // followers here again, and both directories converge.
@@ -339,15 +376,31 @@
         self.gather.put_back(batch);
     }
 
+    /// The process was late by `lag` with a tick.
+    pub fn late(&mut self, lag: Duration) {
+        self.queue.late(lag);
+    }
+
     /// Lets time pass, and gives the answers that are due.
     pub fn tick(&mut self, now: Duration) -> Vec<NewsAnswer> {
         self.board.settle(now);
         self.judge_leases(now);
+        self.settle_sources(now);
         let due = self.queue.due(now, &self.freshness);
         self.answer(now, due);
         std::mem::take(&mut self.ready)
     }
 
+    fn settle_sources(&mut self, now: Duration) {
+        if !self.leading || now < self.sources_at {
+            return;
+        }
+        self.sources_at = now + SOURCES_TICK;
+        if self.sources.settle(now, &self.identity.place) {
+            self.queue.note_news();
+        }
+    }
+
     fn judge_leases(&mut self, now: Duration) {
         if !self.leading || now < self.judge_at {
             return;
--- a/crates/core/src/news_source/answers.rs
+++ b/crates/core/src/news_source/answers.rs
@@ -28,7 +28,7 @@
     fn proof(&self, now: Duration, asked_at: Duration) -> SourceProof {
         SourceProof {
             instance: Arc::clone(&self.identity.instance),
-            failure_domain: Arc::clone(&self.identity.failure_domain),
+            failure_domain: Arc::clone(&self.identity.place.failure_domain),
             version: self.history.current().version,
             fresh_ms: self.freshness.fresh_for(now).as_millis() as u64,
             confirmed: self.freshness.confirms(asked_at),
@@ -104,11 +104,14 @@
         key: &AnswerKey,
         directory: DirectoryNews,
     ) -> FollowReply {
+        let config = self.history.news(&key.place);
         FollowReply::News(Box::new(FollowAnswer {
             source: self.proof(now, follower.asked_at),
-            config: self.history.news(&key.place),
+            chunk: self.history.first_chunk(&config),
+            config,
             acknowledged: key.acknowledged,
             directory,
+            sources: self.sources.news(key.place.sources),
         }))
     }
 }
--- a/crates/core/src/reconnect_admission.rs
+++ b/crates/core/src/reconnect_admission.rs
@@ -9,32 +9,31 @@
 //! only wait for the next change wait behind them, and those that give up
 //! ask again and make it worse.
 //!
-//! So first questions are taken at a bounded rate; each of the others is
-//! told a time of its own, and is taken then before newcomers. Followers
-//! that were already taken are not counted here at all.
+//! So followers that need everything are taken while few of them are under
+//! way, as many as the source is seen to serve without making each of them
+//! slow ([`CatchUpWindow`]); those that need little at a bounded rate. Each
+//! of the others is told a time of its own, and is taken then before
+//! newcomers. Followers that were already taken are not counted here at all.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::catch_up_window::CatchUpWindow;
+
 /// What a first question will cost the source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReconnectCost {
     /// The follower holds what the source holds, or nearly: some hundred
     /// bytes, a tenth of a millisecond.
     Light,
-    /// It needs a snapshot or the whole directory: about 1 MB, some
-    /// milliseconds.
-    Heavy,
+    /// It needs a snapshot or the whole directory, so many bytes.
+    Heavy(u64),
 }
 
 /// Light questions taken a second: a tenth of a core. All 5,200 nodes, if a
 /// single instance were left, are back within eleven seconds.
 const LIGHT_PER_SECOND: u32 = 500;
 
-/// Heavy questions taken a second: 50 MB a second, a third of a core. The
-/// 1,040 nodes of a failure domain, over 18 instances, start within a
-/// second or two.
-const HEAVY_PER_SECOND: u32 = 50;
-
 /// Questions taken at once after a pause: what comes in a quarter second.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
@@ -46,32 +45,38 @@
 #[derive(Clone, Debug)]
 pub struct ReconnectAdmission {
     light: SlotSchedule,
-    heavy: SlotSchedule,
+    heavy: CatchUpWindow,
 }
 
 impl Default for ReconnectAdmission {
     fn default() -> Self {
         Self {
             light: SlotSchedule::new(LIGHT_PER_SECOND),
-            heavy: SlotSchedule::new(HEAVY_PER_SECOND),
+            heavy: CatchUpWindow::default(),
         }
     }
 }
 
 impl ReconnectAdmission {
-    /// Takes a first question at `now`, or says when to come back. `waited`
-    /// where the follower was told so before and has waited.
+    /// Takes the first question of `follower` at `now`, or says when to come
+    /// back. `waited` where the follower was told so before and has waited.
     pub fn admit(
         &mut self,
         now: Duration,
+        follower: &Arc<str>,
         cost: ReconnectCost,
         waited: bool,
     ) -> Result<(), Duration> {
-        let schedule = match cost {
-            ReconnectCost::Light => &mut self.light,
-            ReconnectCost::Heavy => &mut self.heavy,
+        let told = match cost {
+            ReconnectCost::Light => self.light.admit(now, waited),
+            ReconnectCost::Heavy(bytes) => self.heavy.admit(now, follower, bytes, waited),
         };
-        schedule.admit(now, waited)
+        told.map_err(|after| after.min(LATER_MAX))
+    }
+
+    /// A follower that was taken has what it needed, and waits for news.
+    pub fn caught_up(&mut self, now: Duration, follower: &str) {
+        self.heavy.caught_up(now, follower);
     }
 }
 
--- a/crates/core/src/source_ring.rs
+++ b/crates/core/src/source_ring.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::source_list::SourcePlace;
+
 /// How long a source that failed is passed over while others are left.
 const PASSED_OVER: Duration = Duration::from_secs(5);
 
@@ -16,7 +18,9 @@
 #[derive(Clone, Debug)]
 pub struct SourceRing {
     failure_domain: Arc<str>,
+    /// Those named by settings, then those that sources told of.
     sources: Vec<KnownSource>,
+    told: Vec<SourcePlace>,
     current: usize,
     away_since: Option<Duration>,
 }
@@ -54,26 +58,64 @@
         Self {
             failure_domain,
             sources,
+            told: Vec::new(),
             current,
             away_since: None,
         }
     }
 
+    /// A source told which instances can be asked, in the order in which
+    /// this follower prefers them. True where it turns to a nearer one.
+    pub fn learn(
+        &mut self,
+        now: Duration,
+        named: &[SocketAddr],
+        told: Vec<SourcePlace>,
+    ) -> bool {
+        let before = self.current();
+        self.told = told;
+        // The list of a leader that has just begun is short; one that answers
+        // well is not left for that.
+        let answers = &self.sources[self.current];
+        let listed = self.told.iter().any(|place| place.address == before);
+        if let Some(failure_domain) = answers.failure_domain.clone().filter(|_| !listed) {
+            self.told.push(SourcePlace {
+                address: before,
+                failure_domain,
+            });
+        }
+        self.replace(now, named);
+        let current = &self.sources[self.current];
+        if self.rank(now, current) != SourceRank::Near {
+            self.choose(now);
+        }
+        self.current() != before
+    }
+
     /// Takes other addresses, not empty, in place of those held; what is
     /// known of those that stay is kept.
     pub fn replace(&mut self, now: Duration, addresses: &[SocketAddr]) {
         let current = self.current();
-        let mut sources = Vec::with_capacity(addresses.len());
-        for address in addresses {
-            let held = self.sources.iter().find(|held| held.address == *address);
-            sources.push(held.cloned().unwrap_or(KnownSource {
-                address: *address,
+        let told = self.told.iter().map(|place| place.address);
+        let mut sources: Vec<KnownSource> = Vec::new();
+        for address in addresses.iter().copied().chain(told) {
+            if sources.iter().any(|source| source.address == address) {
+                continue;
+            }
+            let held = self.sources.iter().find(|held| held.address == address);
+            let place = self.told.iter().find(|place| place.address == address);
+            let mut source = held.cloned().unwrap_or(KnownSource {
+                address,
                 failure_domain: None,
                 failed_at: None,
-            }));
+            });
+            if let Some(place) = place {
+                source.failure_domain = Some(Arc::clone(&place.failure_domain));
+            }
+            sources.push(source);
         }
         self.sources = sources;
-        let place = addresses.iter().position(|address| *address == current);
+        let place = self.sources.iter().position(|held| held.address == current);
         self.current = place.unwrap_or(0);
         if place.is_none() {
             self.choose(now);
--- a/crates/core/tests/reconnect.rs
+++ b/crates/core/tests/reconnect.rs
@@ -22,7 +22,7 @@
         coming.sort();
         let mut later = Vec::new();
         for (now, waited) in coming {
-            match admission.admit(now, cost, waited) {
+            match admission.admit(now, &"node".into(), cost, waited) {
                 Ok(()) => taken.push(now),
                 Err(after) => later.push((now + after, true)),
             }
@@ -59,12 +59,14 @@
     let mut admission = ReconnectAdmission::default();
     let now = Duration::from_secs(1);
     let mut told = 0;
-    for _ in 0..500 {
-        let heavy = admission.admit(now, ReconnectCost::Heavy, false);
+    for number in 0..500 {
+        let name = format!("node-{number}").into();
+        let heavy = admission.admit(now, &name, ReconnectCost::Heavy(1_000_000), false);
         told += usize::from(heavy.is_err());
     }
     assert!(told > 400);
-    assert_eq!(admission.admit(now, ReconnectCost::Light, false), Ok(()));
+    let light = admission.admit(now, &"node".into(), ReconnectCost::Light, false);
+    assert_eq!(light, Ok(()));
 }
 
 // A source stays away. Each node's waits grow to their bound and differ
--- a/crates/core/tests/version_follower.rs
+++ b/crates/core/tests/version_follower.rs
@@ -57,6 +57,7 @@
         refused: follower.refused().unwrap_or_default(),
         whole: follower.wants_whole(),
         revision: 0,
+        sources: 0,
     })
 }
 
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -5,7 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use log::warn;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -17,6 +21,8 @@
 use cowslip_core::move_board::NodeReport;
 use cowslip_core::reconnect_backoff::ReconnectBackoff;
 use cowslip_core::report_gather::ReportBatch;
+use cowslip_core::source_list;
+use cowslip_core::source_list::SourcePlace;
 use cowslip_core::source_ring::SourceRing;
 use cowslip_core::version::ConfigVersion;
 use cowslip_core::version_follower::FollowStep;
@@ -107,6 +113,7 @@
         versions: VersionFollower::new(Duration::ZERO),
         directory: DirectoryFollower::default(),
         waited: false,
+        sources: 0,
         started: Instant::now(),
     };
     actix_rt::spawn(follower.run());
@@ -121,6 +128,8 @@
     versions: VersionFollower,
     directory: DirectoryFollower,
     waited: bool,
+    /// Digest of the list of control instances that the ring holds.
+    sources: u64,
     backoff: ReconnectBackoff,
     started: Instant,
 }
@@ -208,6 +217,8 @@
             directory: self.directory.ask(),
             wait_ms: self.pace.wait.as_millis() as u64,
             node_domain: Some(Arc::clone(&self.plan.failure_domain)),
+            serves: None,
+            sources: self.sources,
         };
         let address = self.ring.current();
         let client = &self.plan.client;
@@ -225,14 +236,18 @@
         let step =
             self.versions
                 .news(now, answer.source, answer.acknowledged, answer.config);
-        match self.fetch(address, step).await? {
+        match self.fetch(address, step, answer.chunk).await? {
             FollowStep::Offer(snapshot) => self.offer(snapshot).await,
             FollowStep::AskElsewhere => return Ok(TurnEnd::Turn),
             FollowStep::Ask | FollowStep::Fetch { .. } => {}
         }
         // The entry task ends only with the node.
         let _ = self.plan.entry.send(EntryMessage::Heard).await;
-        if self.ring.answered(self.started.elapsed(), &domain) {
+        let mut turned = self.ring.answered(self.started.elapsed(), &domain);
+        if let Some(places) = answer.sources {
+            turned |= self.learn(places);
+        }
+        if turned {
             self.current.send_replace(self.ring.current());
         }
         // Guards against a node that stays with an instance cut off from the
@@ -243,6 +258,16 @@
         Ok(TurnEnd::Stay)
     }
 
+    /// Takes the list of control instances; true where another one is asked
+    /// from now on.
+    fn learn(&mut self, mut places: Vec<SourcePlace>) -> bool {
+        self.sources = source_list::digest_of(&places);
+        // Each node in an order of its own, so that they spread.
+        places.shuffle(&mut SmallRng::seed_from_u64(self.plan.seed));
+        let controls = self.plan.controls.borrow().clone();
+        self.ring.learn(self.started.elapsed(), &controls, places)
+    }
+
     async fn take_directory(&mut self, news: DirectoryNews) {
         let run = self.directory.place().run;
         let changed = self.directory.take(news);
@@ -264,12 +289,18 @@
         let _ = self.plan.entry.send(news).await;
     }
 
-    /// Fetches chunks as long as the follower wants them.
+    /// Fetches chunks as long as the follower wants them, after the one that
+    /// came along.
     async fn fetch(
         &mut self,
         address: SocketAddr,
         mut step: FollowStep,
+        along: Option<Bytes>,
     ) -> Result<FollowStep, PeerError> {
+        if let (FollowStep::Fetch { at: 0, .. }, Some(chunk)) = (&step, along) {
+            let now = self.started.elapsed();
+            step = self.versions.chunk(now, Some(&chunk));
+        }
         while let FollowStep::Fetch { version, at } = step {
             let call = ChunkCall { version, at };
             let client = &self.plan.client;
