A call waits for a slot only while its answer is of use

Callers saw: under lasting shortage calls waited up to a second (the built-in longest wait) and were refused then, later than their target; they came back late or not at all.

Change: ServerGate::patience: a call waits until it would be late, one that is late already for about the work of one call. The queue's bound still holds.

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -18,7 +18,6 @@
 use crate::directory::EndpointRecord;
 use crate::document::validate_edit;
 use crate::document::CallPlace;
-use crate::document::CallPriority;
 use crate::document::DocumentFault;
 use crate::document::FleetDocument;
 use crate::document::RepeatRule;
@@ -43,6 +42,11 @@
 use crate::verdict::CallVerdict;
 use crate::version::ConfigVersion;
 
+use self::call_plan::TryAllowance;
+
+mod call_plan;
+
+pub use self::call_plan::CallPlan;
 pub use crate::call_try::NextStep;
 pub use crate::call_try::ServerTry;
 pub use crate::call_try::TryFailure;
@@ -81,117 +85,6 @@
     pub deadline: Option<Duration>,
 }
 
-/// A call that was matched to a route, over all of its tries.
-#[derive(Clone, Debug)]
-pub struct CallPlan {
-    /// Service that answers.
-    pub service: Arc<str>,
-    /// Path of the route that matched.
-    pub route: Arc<str>,
-    /// Urgency of the route.
-    pub priority: CallPriority,
-    /// Customer it is made for.
-    pub customer: Arc<str>,
-    /// When it came in, since the process's start.
-    pub arrived_at: Duration,
-    /// When the call is of no more use, since the process's start.
-    pub deadline_at: Duration,
-    /// Greatest verdict of the tries so far.
-    pub verdict: CallVerdict,
-    /// Listener it came in by.
-    pub origin: CallOrigin,
-    /// How likely its next try repeats work at a backend server.
-    pub repeats: RepeatShare,
-    idempotent: bool,
-    /// When its caller began to ask, over earlier calls too.
-    asked_at: Duration,
-    /// When its caller's time is over, where the caller says so.
-    caller_until: Option<Duration>,
-    /// When the answer begins to be worth less, where the route says so.
-    pub target_at: Option<Duration>,
-    tries: TryAllowance,
-    seeks_slots: bool,
-    probes_left: u64,
-    far_cost_per_kb: u64,
-    /// Backend server version that was drawn for it.
-    version: Option<Arc<str>>,
-    full: Vec<Arc<str>>,
-    tried: Vec<Arc<str>>,
-    failed_for: Option<RefusalReason>,
-}
-
-/// How often a call may be tried.
-#[derive(Clone, Copy, Debug)]
-struct TryAllowance {
-    /// Backend servers that it may reach.
-    servers_left: u64,
-    /// Tries, those that servers' nodes refused included.
-    tries_left: u64,
-}
-
-/// Refusals by servers' nodes that a call may meet beyond the servers that
-/// its route lets it reach: each costs a round trip and reaches no server.
-/// With a quarter of the servers leaving, three in a row are 1 in 64 calls.
-const NODE_REFUSALS_MAX: u64 = 3;
-
-impl TryAllowance {
-    fn of(route: &RouteSpec, fleet: u64) -> Self {
-        match route.tries_max {
-            Some(servers) => Self {
-                servers_left: servers,
-                tries_left: servers + NODE_REFUSALS_MAX,
-            },
-            None => Self {
-                servers_left: fleet,
-                tries_left: fleet,
-            },
-        }
-    }
-
-    fn spend(&mut self, failure: TryFailure) {
-        // Offers for a free slot are counted by themselves.
-        if failure.reason == RefusalReason::NoFreeSlot {
-            return;
-        }
-        self.tries_left = self.tries_left.saturating_sub(1);
-        if failure.reached_server() {
-            self.servers_left = self.servers_left.saturating_sub(1);
-        }
-    }
-
-    fn is_spent(self) -> bool {
-        self.servers_left == 0 || self.tries_left == 0
-    }
-}
-
-impl CallPlan {
-    /// True where running it twice does no harm.
-    pub fn is_idempotent(&self) -> bool {
-        self.idempotent
-    }
-
-    /// Time in which its answer is worth most; all of its time where its route
-    /// sets no target.
-    fn target_left(&self, now: Duration) -> Duration {
-        self.target_at
-            .unwrap_or(self.deadline_at)
-            .saturating_sub(now)
-    }
-
-    /// Nothing can be sent again: a body that streamed is spent.
-    pub fn forbid_retry(&mut self) {
-        self.tries.tries_left = 0;
-    }
-
-    /// Where nothing has run another try does no harm. Where it may have,
-    /// only the outermost layer repeats an idempotent call: if each of 28
-    /// layers did, their tries would multiply at the innermost server.
-    fn is_harmless(&self, verdict: CallVerdict) -> bool {
-        let outermost = self.origin == CallOrigin::Outside;
-        verdict == CallVerdict::NotRun || self.idempotent && outermost
-    }
-}
-
 /// Status by which a backend server says that it has no room.
 const STATUS_SHED: u16 = 503;
 
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -251,13 +251,14 @@
         } else {
             self.times.least(&call.route)
         };
-        let patience = self.bounds.wait.saturating_sub(call.waited);
+        let late_at = self.late_at(now, &call);
+        let patience = self.patience(now, &call, late_at);
         let waiting = WaitingCall {
             ticket,
             length: self.times.length(&call.route),
             arrived_at: now.saturating_sub(call.waited),
             give_up_at: now + call.left.saturating_sub(work).min(patience),
-            late_at: self.late_at(now, &call),
+            late_at,
             cost: self.times.cost(&call.route),
             repeats: call.repeats,
             route: call.route,
@@ -281,6 +282,27 @@
         actions
     }
 
+    /// How long a call waits for a slot at most.
+    ///
+    /// Load pattern: servers are lost for good and calls exceed the slots that
+    /// are left for as long as the load lasts. Those that wait beyond the time
+    /// for which they are useful are refused in the end all the same, too late
+    /// to be served elsewhere. One that is late already finds a gap within the
+    /// work of one call or comes back.
+    fn patience(
+        &self,
+        now: Duration,
+        call: &OfferedCall,
+        late_at: Option<Duration>,
+    ) -> Duration {
+        let bound = self.bounds.wait.saturating_sub(call.waited);
+        let Some(late_at) = late_at else {
+            return bound;
+        };
+        let work = self.times.lately(&call.route);
+        bound.min(late_at.saturating_sub(now).max(work))
+    }
+
     /// Latest start from which an answer is in time; work that takes a
     /// quarter longer than lately still is.
     ///
--- a/crates/core/tests/timely_overload.rs
+++ b/crates/core/tests/timely_overload.rs
@@ -52,6 +52,8 @@
     calling: HashMap<u64, bool>,
     arrived: HashMap<u64, Duration>,
     answered: Vec<(u64, Duration)>,
+    /// How long calls waited that were refused in the end.
+    refused_after: Vec<Duration>,
 }
 
 impl GatedServer {
@@ -75,6 +77,7 @@
             calling: HashMap::new(),
             arrived: HashMap::new(),
             answered: Vec::new(),
+            refused_after: Vec::new(),
         }
     }
 
@@ -97,8 +100,12 @@
 
     fn carry_out(&mut self, now: Duration, slowness: f64, actions: Vec<GateAction>) {
         for action in actions {
-            let GateAction::Start(ticket) = action else {
-                continue;
+            let ticket = match action {
+                GateAction::Start(ticket) => ticket,
+                GateAction::Refuse(ticket, _) => {
+                    self.refused_after.push(now - self.arrived[&ticket]);
+                    continue;
+                }
             };
             let spread = self.rng.random_range(0.6..1.4);
             let ends = now + WORK.mul_f64(slowness * spread);
@@ -127,9 +134,9 @@
     }
 }
 
-/// Answers in time, of those that a server of that speed could give at most
-/// and that were asked for, in the last half of the plan.
-fn timely_part(plan: &LoadPlan) -> f64 {
+/// Plays a plan; the server after it, and the answers that one of that speed
+/// could give at most and that were asked for in the last half.
+fn play(plan: &LoadPlan) -> (GatedServer, f64) {
     let mut server = GatedServer::new(plan.seed);
     let a_millisecond = plan.load * f64::from(SLOTS) / WORK.as_millis() as f64;
     let mut tickets = 0;
@@ -152,6 +159,13 @@
         let actions = server.gate.wake(now);
         server.carry_out(now, slowness, actions);
     }
+    (server, possible)
+}
+
+/// Answers in time, of those that were possible in the last half of the plan.
+fn timely_part(plan: &LoadPlan) -> f64 {
+    let (server, possible) = play(plan);
+    let half = Duration::from_secs(plan.seconds) / 2;
     let mut timely = 0;
     for (ticket, at) in &server.answered {
         let arrived = server.arrived[ticket];
@@ -242,3 +256,21 @@
     let waiting = server.gate.waiting();
     assert!(refused > 50, "{refused} refused, {waiting} wait");
 }
+
+// Half of the servers are lost for good. Callers wait a second and more in the
+// queues of the others and are refused then, though their answer has long been
+// late: they could have come back while it was of use.
+#[test]
+fn no_call_waits_beyond_its_use_to_be_refused() {
+    for seed in 0..SEEDS {
+        let (server, _) = play(&LoadPlan {
+            seed,
+            load: 2.0,
+            slowness: |_| 1.0,
+            seconds: 12,
+        });
+        assert!(!server.refused_after.is_empty());
+        let longest = server.refused_after.iter().max().copied();
+        assert!(longest <= Some(TARGET), "{longest:?}");
+    }
+}
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -17,9 +17,7 @@
 use cowslip_core::claim::RunEnd;
 use cowslip_core::claim::RUN_TIME_MAX;
 use cowslip_core::entry_router::CallOrigin;
-use cowslip_core::entry_router::CallPlan;
 use cowslip_core::entry_router::TryFailure;
-use cowslip_core::entry_router::TryReport;
 use cowslip_core::load::deadline_budget;
 use cowslip_core::load::repeat_share::RepeatShare;
 use cowslip_core::load::server_load::ToldLoad;
@@ -60,6 +58,10 @@
 use crate::node_stage::NodeStage;
 use crate::refusal_reply::refusal_reply;
 
+use self::try_guard::TryGuard;
+
+mod try_guard;
+
 /// Bytes of an answer that are held before any is passed on. Lookups answer
 /// with some kilobytes; nine nodes with 110 MB each hold 50 of this size.
 const HELD_ANSWER_MAX: usize = 128 * 1024;
@@ -532,77 +534,3 @@
     let reason = reason.unwrap_or(RefusalReason::ConnectionBroken);
     Some(TryFailure { verdict, reason })
 }
-
-/// Tells the routing task that a try is over when it is dropped, so that
-/// no way out of a call can forget it.
-struct TryGuard {
-    entry: mpsc::Sender<EntryMessage>,
-    message: Option<EntryMessage>,
-    /// What is counted of a try under a move whose caller leaves. Guards
-    /// against a bound on what a new version gets that is passed unseen while
-    /// many callers leave early.
-    left: Option<EndedTry>,
-}
-
-impl TryGuard {
-    /// A guard of a try without an answer so far.
-    fn new(entry: mpsc::Sender<EntryMessage>, planned: &PlannedTry) -> Self {
-        let instance = Arc::clone(&planned.server.instance);
-        let left = MeasuredTry {
-            took: Duration::ZERO,
-            end: TryEnd::Left,
-            warm: false,
-        };
-        Self {
-            entry,
-            message: Some(EntryMessage::Abandoned(instance)),
-            left: planned.measured.then(|| ended_try(planned, left)),
-        }
-    }
-
-    /// The answer's head is there, `taken` after the try's start.
-    fn answered(&mut self, plan: &CallPlan, answer: &HopAnswer, taken: Duration) {
-        let Some(EntryMessage::Abandoned(instance)) = self.message.take() else {
-            return;
-        };
-        let report = TryReport {
-            instance,
-            service: Arc::clone(&plan.service),
-            route: Arc::clone(&plan.route),
-            customer: Arc::clone(&plan.customer),
-            priority: plan.priority,
-            status: answer.head.status.as_u16(),
-            taken,
-            bytes: call_forward::stated_length(answer.head.headers())
-                .or(Some(answer.body.held().len() as u64)),
-        };
-        self.message = Some(EntryMessage::Ended(report, told_load(answer)));
-        self.left = None;
-    }
-
-    /// The task is told of the end by another message.
-    fn disarm(mut self) {
-        self.message = None;
-        self.left = None;
-    }
-
-    fn tell(&self, message: EntryMessage) {
-        if let Err(mpsc::error::TrySendError::Full(message)) =
-            self.entry.try_send(message)
-        {
-            let entry = self.entry.clone();
-            actix_rt::spawn(async move { entry.send(message).await });
-        }
-    }
-}
-
-impl Drop for TryGuard {
-    fn drop(&mut self) {
-        if let Some(message) = self.message.take() {
-            self.tell(message);
-        }
-        if let Some(left) = self.left.take() {
-            self.tell(EntryMessage::Tried(left));
-        }
-    }
-}
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use log::info;
 use log::warn;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -160,6 +161,12 @@
                 Ok(TurnEnd::Later(after)) => {
                     self.waited = true;
                     self.plan.metrics.wait();
+                    info!(
+                        "event=follow-later process=node control={} held={} after_ms={}",
+                        self.ring.current(),
+                        self.versions.held(),
+                        after.as_millis()
+                    );
                     self.backoff.told(after)
                 }
                 Ok(TurnEnd::Turn) => self.turn_away(),
@@ -265,7 +272,13 @@
         // Each node in an order of its own, so that they spread.
         places.shuffle(&mut SmallRng::seed_from_u64(self.plan.seed));
         let controls = self.plan.controls.borrow().clone();
-        self.ring.learn(self.started.elapsed(), &controls, places)
+        let listed = places.len();
+        let turned = self.ring.learn(self.started.elapsed(), &controls, places);
+        info!(
+            "event=controls-learnt process=node listed={listed} control={} turned={turned}",
+            self.ring.current()
+        );
+        turned
     }
 
     async fn take_directory(&mut self, news: DirectoryNews) {
