Control instances tell nodes where nodes reach them

Found while the soak was read: nodes learn control instances' own addresses since nodes follow the list that the leader tells, so in the soak they went past its proxies, and delayed, silenced and cut links to control instances touched them less than before. The same holds for an operator whose nodes reach control through a proxy or another address.

Change: `nodes_address` in a control instance's settings, told in place of `listen`. Absent on the users' platform: its programs do there what they did."

--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -106,7 +106,7 @@
     ) -> Result<Self, ControlError> {
         let mut registry = Registry::default();
         let place = SourcePlace {
-            address: settings.address(),
+            address: settings.nodes_address.unwrap_or(settings.address()),
             failure_domain: Arc::clone(&settings.failure_domain),
         };
         let fanout = fanout_task::spawn(
