A node leaves the failure domain of a control instance that is unsure

Since nodes learn every instance and prefer near ones, a node of zon-a went from one cut-off instance to the other: each holds its question, answers that it cannot tell whether it is behind, and costs the pause as well.

Change: SourceRing::unsure passes over all instances of that failure domain.

Test: an_unsure_instance_speaks_for_its_failure_domain, fails with the way before."

--- a/crates/core/src/source_ring.rs
+++ b/crates/core/src/source_ring.rs
@@ -160,6 +160,22 @@
         self.choose(now);
     }
 
+    /// The source in use cannot tell whether it is behind; turns to one of
+    /// another failure domain, where there is one.
+    ///
+    /// Guards against a failure domain that is cut off from the leader while
+    /// its nodes reach everyone: asked in turn, its instances keep a node with
+    /// an old version for as long as each of them takes to find out.
+    pub fn unsure(&mut self, now: Duration) {
+        let domain = self.sources[self.current].failure_domain.clone();
+        for source in &mut self.sources {
+            if domain.is_some() && source.failure_domain == domain {
+                source.failed_at = Some(now);
+            }
+        }
+        self.failed(now);
+    }
+
     /// The best source after the current one, in the order of the ring.
     fn choose(&mut self, now: Duration) {
         let count = self.sources.len();
--- a/crates/core/tests/start_herd.rs
+++ b/crates/core/tests/start_herd.rs
@@ -288,3 +288,26 @@
     assert!(!ring.learn(ms(20), &named, vec![place(0)]));
     assert_eq!(ring.current(), near);
 }
+
+// A failure domain with two instances is cut off from the leader, and its nodes
+// reach everyone. Each instance takes a while to find out that it is behind; a
+// node that asks one after the other keeps the old version too long.
+#[test]
+fn an_unsure_instance_speaks_for_its_failure_domain() {
+    let named: Vec<SocketAddr> = (0..3).map(|number| place(number).address).collect();
+    for seed in 0..20 {
+        let mut ring = SourceRing::new("domain-0".into(), &named, 0);
+        let mut places: Vec<SourcePlace> = (0..10).map(place).collect();
+        places.shuffle(&mut SmallRng::seed_from_u64(seed));
+        ring.learn(ms(0), &named, places.clone());
+        let domain_of = |ring: &SourceRing| {
+            let current = ring.current();
+            let place = places.iter().find(|place| place.address == current);
+            place.map(|place| Arc::clone(&place.failure_domain))
+        };
+        ring.answered(ms(10), &"domain-0".into());
+        assert_eq!(domain_of(&ring), Some("domain-0".into()));
+        ring.unsure(ms(2_000));
+        assert_ne!(domain_of(&ring), Some("domain-0".into()));
+    }
+}
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -172,7 +172,9 @@
                 Ok(TurnEnd::Turn) => self.turn_away(),
                 Ok(TurnEnd::Unsure) => {
                     self.plan.metrics.wait();
-                    self.turn_away();
+                    self.waited = false;
+                    self.ring.unsure(self.started.elapsed());
+                    self.current.send_replace(self.ring.current());
                     self.backoff.succeed();
                     self.pace.wait / 2
                 }
