Nodes no longer learn control instances from the leader

Reverts the list of instances (source_list), what came with it in the ring of sources, and nodes_address; the window of catch-ups, the pacing of wakes, the chunk along with the answer and the watch for a new leader stay.

Told lists need an order by term first.

Tests that came with the list go with it; those of the herd stay.

--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -152,7 +152,6 @@
             instance,
             failure_domain: plan.failure_domain(at),
             listen: loopback(),
-            nodes_address: None,
             admin_listen: loopback(),
             members: members.clone(),
             operator_key: AccessKey::new(OPERATOR_KEY),
--- a/crates/control/benches/agreement.rs
+++ b/crates/control/benches/agreement.rs
@@ -99,7 +99,6 @@
             instance: Arc::clone(&member.instance),
             failure_domain: "bench".into(),
             listen: loopback(),
-            nodes_address: None,
             admin_listen: loopback(),
             data_folder: folder.join(&*member.instance),
             members: addresses.clone(),
--- a/crates/control/benches/fanout_cost/fleet_model.rs
+++ b/crates/control/benches/fanout_cost/fleet_model.rs
@@ -19,7 +19,6 @@
 use cowslip_core::follow_exchange::FollowReply;
 use cowslip_core::news_source::NewsSource;
 use cowslip_core::news_source::SourceIdentity;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::version::ConfigVersion;
 use cowslip_core::version_follower::FollowStep;
@@ -110,10 +109,7 @@
 pub fn source(name: &str, run: u64) -> NewsSource {
     NewsSource::new(SourceIdentity {
         instance: name.into(),
-        place: SourcePlace {
-            address: ([127, 0, 0, 1], 7_000).into(),
-            failure_domain: "domain-0".into(),
-        },
+        failure_domain: "domain-0".into(),
         run,
     })
 }
@@ -168,8 +164,6 @@
             directory: self.directory.ask(),
             wait_ms: self.wait_ms,
             node_domain: self.node_domain.clone(),
-            serves: None,
-            sources: 0,
         };
         codec::encode(&call).expect("a call encodes")
     }
--- a/crates/control/benches/fanout_cost/main.rs
+++ b/crates/control/benches/fanout_cost/main.rs
@@ -232,7 +232,6 @@
                 snapshot,
                 endpoints,
                 run: 1,
-                sources: None,
             };
             relay.source.install(now, news);
         });
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -15,7 +15,6 @@
 use tokio::sync::oneshot;
 
 use cowslip_core::node_presence::NodePresence;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_wire::admin_page::AdminPage;
 use cowslip_wire::admin_page::ADMIN_CONNECTIONS_MAX;
 use cowslip_wire::http_listener::HttpHandler;
@@ -105,13 +104,9 @@
         front: impl FnOnce(OperatorDesk, Rc<dyn HttpHandler>) -> Rc<dyn HttpHandler>,
     ) -> Result<Self, ControlError> {
         let mut registry = Registry::default();
-        let place = SourcePlace {
-            address: settings.nodes_address.unwrap_or(settings.address()),
-            failure_domain: Arc::clone(&settings.failure_domain),
-        };
         let fanout = fanout_task::spawn(
             Arc::clone(&settings.instance),
-            place.clone(),
+            Arc::clone(&settings.failure_domain),
             SourceMetrics::new(&mut registry),
         );
         let mut registry = Registry::default();
@@ -133,7 +128,6 @@
         ));
         actix_rt::spawn(uplink_task::follow(
             Arc::clone(&settings.instance),
-            place,
             leader,
             client,
             fanout.clone(),
--- a/crates/control/src/control_settings.rs
+++ b/crates/control/src/control_settings.rs
@@ -25,8 +25,6 @@
     pub failure_domain: Arc<str>,
     /// Where operators and other processes reach it.
     pub listen: SocketAddr,
-    /// Where nodes reach it, where that is not `listen`; told to all nodes.
-    pub nodes_address: Option<SocketAddr>,
     /// Where metrics and health are served.
     pub admin_listen: SocketAddr,
     /// Folder for the change log; it must exist or be creatable.
@@ -75,7 +73,6 @@
             reader.required::<String>("instance", "a name unique in the fleet");
         let failure_domain = reader.required::<String>("failure_domain", "its name");
         let listen = reader.required("listen", ADDRESS);
-        let nodes_address = reader.optional("nodes_address", ADDRESS);
         let admin_listen = reader.required("admin_listen", ADDRESS);
         let data_folder = reader.required("data_folder", "a folder for the change log");
         let mut members: Vec<MemberAddress> =
@@ -97,7 +94,6 @@
             instance,
             failure_domain: failure_domain?.into(),
             listen: listen?,
-            nodes_address,
             admin_listen: admin_listen?,
             data_folder: data_folder?,
             members,
--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -24,7 +24,6 @@
 use cowslip_core::news_source::SourceIdentity;
 use cowslip_core::node_presence::NodePresence;
 use cowslip_core::report_gather::ReportBatch;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_core::source_proof::SourceProof;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
@@ -98,8 +97,6 @@
     pub snapshot: ConfigSnapshot,
     /// True where starting followers wait for a confirmation.
     pub wants_confirmation: bool,
-    /// Digest of the list of control instances that is told here.
-    pub sources: u64,
 }
 
 /// News that came from the leader.
@@ -115,8 +112,6 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The leader's run.
     pub run: u64,
-    /// Control instances to ask, where the list is another one.
-    pub sources: Option<Vec<SourcePlace>>,
 }
 
 struct FanoutTask {
@@ -132,12 +127,12 @@
 /// Starts the task.
 pub fn spawn(
     instance: Arc<str>,
-    place: SourcePlace,
+    failure_domain: Arc<str>,
     metrics: SourceMetrics,
 ) -> mpsc::Sender<FanoutMessage> {
     let identity = SourceIdentity {
         instance: Arc::clone(&instance),
-        place,
+        failure_domain,
         run: wall_clock::since_epoch().as_nanos() as u64,
     };
     let task = FanoutTask {
@@ -204,7 +199,6 @@
                 let _ = reply.send(UplinkState {
                     snapshot: self.source.current().clone(),
                     wants_confirmation: self.source.wants_confirmation(),
-                    sources: self.source.sources(),
                 });
             }
             FanoutMessage::Moves(changes, reply) => {
@@ -249,7 +243,6 @@
             snapshot: news.snapshot,
             endpoints: news.endpoints,
             run: news.run,
-            sources: news.sources,
         };
         self.source.install(now, news);
     }
--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -14,7 +14,6 @@
 use cowslip_core::directory_follower::DirectoryFollower;
 use cowslip_core::document::validate;
 use cowslip_core::report_gather::GATHER_TIME;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_core::version_follower::FollowStep;
 use cowslip_core::version_follower::VersionFollower;
 use cowslip_wire::boot_instant::BootInstant;
@@ -58,14 +57,12 @@
 /// Follows the leader, whoever it is, and installs its news.
 pub async fn follow(
     instance: Arc<str>,
-    place: SourcePlace,
     leader: LeaderWatch,
     client: PeerClient,
     task: mpsc::Sender<FanoutMessage>,
 ) {
     let mut uplink = LeaderFollower {
         instance,
-        place,
         client,
         task,
         follower: VersionFollower::new(Duration::ZERO),
@@ -98,7 +95,6 @@
 
 struct LeaderFollower {
     instance: Arc<str>,
-    place: SourcePlace,
     client: PeerClient,
     task: mpsc::Sender<FanoutMessage>,
     follower: VersionFollower,
@@ -132,8 +128,6 @@
             directory: self.directory.ask(),
             wait_ms: wait.as_millis() as u64,
             node_domain: None,
-            serves: Some(self.place.clone()),
-            sources: state.sources,
         };
         let sent_at = BootInstant::now();
         let reply = self.client.send(address, &call, FOLLOW_PATIENCE).await?;
@@ -161,7 +155,6 @@
             snapshot,
             endpoints,
             run: self.directory.place().run,
-            sources: answer.sources,
         };
         let sent = self.task.send(FanoutMessage::Install(Box::new(news))).await;
         Ok(sent.is_ok())
--- a/crates/control/tests/store_failures.rs
+++ b/crates/control/tests/store_failures.rs
@@ -214,7 +214,6 @@
         instance: "control-1".into(),
         failure_domain: "one".into(),
         listen: member.address,
-        nodes_address: None,
         admin_listen: member.address,
         data_folder: "unused".into(),
         members: vec![member],
--- a/crates/core/src/follow_exchange.rs
+++ b/crates/core/src/follow_exchange.rs
@@ -10,7 +10,6 @@
 use crate::directory_follower::DirectoryAsk;
 use crate::directory_follower::DirectoryNews;
 use crate::move_board::NodeReport;
-use crate::source_list::SourcePlace;
 use crate::source_proof::SourceProof;
 use crate::version::ConfigVersion;
 
@@ -38,12 +37,6 @@
     /// Its failure domain, where it is a node whose moves are counted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub node_domain: Option<Arc<str>>,
-    /// Where it answers followers itself, where it is a control instance.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub serves: Option<SourcePlace>,
-    /// Digest of the list of control instances that it holds.
-    #[serde(default)]
-    pub sources: u64,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -92,7 +85,4 @@
     pub acknowledged: Option<ConfigVersion>,
     /// News of the directory.
     pub directory: DirectoryNews,
-    /// Control instances to ask, where the follower holds another list.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub sources: Option<Vec<SourcePlace>>,
 }
--- a/crates/core/src/follower_queue.rs
+++ b/crates/core/src/follower_queue.rs
@@ -43,8 +43,6 @@
     pub whole: bool,
     /// Revision of this source's directory that it has read up to.
     pub revision: u64,
-    /// Digest of the list of control instances that it holds.
-    pub sources: u64,
 }
 
 /// A follower that gets its answer now.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,7 +39,6 @@
 pub mod server_presence;
 pub mod server_runs;
 pub mod snapshot_chunks;
-pub mod source_list;
 pub mod source_proof;
 pub mod source_ring;
 pub mod tuning;
--- a/crates/core/src/news_source.rs
+++ b/crates/core/src/news_source.rs
@@ -31,8 +31,6 @@
 use crate::reconnect_admission::ReconnectCost;
 use crate::report_gather::ReportBatch;
 use crate::report_gather::ReportGather;
-use crate::source_list::SourceList;
-use crate::source_list::SourcePlace;
 use crate::source_proof::SourceFreshness;
 use crate::source_proof::SourceProof;
 use crate::version::ConfigVersion;
@@ -45,10 +43,6 @@
 /// Bytes of an encoded directory record.
 const RECORD_BYTES: u64 = 160;
 
-/// How often the leader looks at which control instances follow it. A new
-/// leader waits as long: the others turn to it within that time.
-const SOURCES_TICK: Duration = Duration::from_millis(500);
-
 /// How often leases are judged; a tenth of their time.
 const LEASE_TICK: Duration = Duration::from_secs(1);
 
@@ -57,8 +51,8 @@
 pub struct SourceIdentity {
     /// Name of the instance.
     pub instance: Arc<str>,
-    /// Where it listens, and its failure domain.
-    pub place: SourcePlace,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
     /// Differs between any two processes.
     pub run: u64,
 }
@@ -76,8 +70,6 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The leader's run, where the directory came from.
     pub run: u64,
-    /// Control instances to ask, where the list is another one.
-    pub sources: Option<Vec<SourcePlace>>,
 }
 
 /// One answer for any number of followers.
@@ -117,11 +109,9 @@
     gather: ReportGather,
     freshness: SourceFreshness,
     admission: ReconnectAdmission,
-    sources: SourceList,
     leading: bool,
     leader_run: u64,
     judge_at: Duration,
-    sources_at: Duration,
     counts: SourceCounts,
 }
 
@@ -141,11 +131,9 @@
             gather: ReportGather::default(),
             freshness: SourceFreshness::default(),
             admission: ReconnectAdmission::default(),
-            sources: SourceList::default(),
             leading: false,
             leader_run: 0,
             judge_at: Duration::ZERO,
-            sources_at: Duration::ZERO,
             counts: SourceCounts::default(),
         }
     }
@@ -182,11 +170,6 @@
         self.queue.has_starting() && self.current().version > ConfigVersion::ZERO
     }
 
-    /// Digest of the list of control instances that is told here.
-    pub fn sources(&self) -> u64 {
-        self.sources.digest()
-    }
-
     /// A chunk of the snapshot that an answer named.
     pub fn chunk(&self, version: ConfigVersion, at: usize) -> Option<Bytes> {
         self.history.chunk(version, at)
@@ -198,7 +181,6 @@
         // at the old one only: live servers would leave the directory.
         if leading && !self.leading {
             self.leases.renew_all(now);
-            self.sources_at = now + SOURCES_TICK;
         }
         self.leading = leading;
         self.freshness.lead(leading);
@@ -236,11 +218,7 @@
             refused: call.refused.unwrap_or_default(),
             whole: call.whole,
             revision,
-            sources: call.sources,
         };
-        if let Some(place) = call.serves.clone() {
-            self.sources.hear(now, place);
-        }
         let wait = Duration::from_millis(call.wait_ms).min(WAIT_MAX);
         let id = self.queue.wait(now, now + wait, place);
         self.names.insert(id, Arc::clone(&call.follower));
@@ -301,8 +279,7 @@
     /// waits for an answer that proves what was accepted before it asked.
     fn has_news(&self, now: Duration, place: &FollowerPlace) -> bool {
         let known = place.revision >= self.directory.revision();
-        let placed = self.listed_for(place).is_none();
-        if known && placed && self.history.is_current(place) {
+        if known && self.history.is_current(place) {
             return false;
         }
         place.held > ConfigVersion::ZERO || self.freshness.confirms(now)
@@ -346,12 +323,6 @@
         for record in news.endpoints {
             self.merge(now, record);
         }
-        if news
-            .sources
-            .is_some_and(|places| self.sources.install(places))
-        {
-            self.queue.note_news();
-        }
         // Guards against records that only the old leader had been told:
         // after each change of leader the new one gets those of all
         // followers here again, and both directories converge.
@@ -385,22 +356,11 @@
     pub fn tick(&mut self, now: Duration) -> Vec<NewsAnswer> {
         self.board.settle(now);
         self.judge_leases(now);
-        self.settle_sources(now);
         let due = self.queue.due(now, &self.freshness);
         self.answer(now, due);
         std::mem::take(&mut self.ready)
     }
 
-    fn settle_sources(&mut self, now: Duration) {
-        if !self.leading || now < self.sources_at {
-            return;
-        }
-        self.sources_at = now + SOURCES_TICK;
-        if self.sources.settle(now, &self.identity.place) {
-            self.queue.note_news();
-        }
-    }
-
     fn judge_leases(&mut self, now: Duration) {
         if !self.leading || now < self.judge_at {
             return;
--- a/crates/core/src/news_source/answers.rs
+++ b/crates/core/src/news_source/answers.rs
@@ -11,7 +11,6 @@
 use crate::follower_queue::DueFollower;
 use crate::follower_queue::FollowerId;
 use crate::follower_queue::FollowerPlace;
-use crate::source_list::SourcePlace;
 use crate::source_proof::SourceProof;
 use crate::version::ConfigVersion;
 
@@ -26,20 +25,10 @@
         }
     }
 
-    /// The list of control instances, where a follower at `place` lacks it.
-    ///
-    /// Not for one that starts: it would turn to another source at once and
-    /// keep its place among those under way here.
-    pub(super) fn listed_for(&self, place: &FollowerPlace) -> Option<Vec<SourcePlace>> {
-        let starting = place.held == ConfigVersion::ZERO;
-        let digest = Some(place.sources).filter(|_| !starting)?;
-        self.sources.news(digest)
-    }
-
     fn proof(&self, now: Duration, asked_at: Duration) -> SourceProof {
         SourceProof {
             instance: Arc::clone(&self.identity.instance),
-            failure_domain: Arc::clone(&self.identity.place.failure_domain),
+            failure_domain: Arc::clone(&self.identity.failure_domain),
             version: self.history.current().version,
             fresh_ms: self.freshness.fresh_for(now).as_millis() as u64,
             confirmed: self.freshness.confirms(asked_at),
@@ -122,7 +111,6 @@
             config,
             acknowledged: key.acknowledged,
             directory,
-            sources: self.listed_for(&key.place),
         }))
     }
 }
--- a/crates/core/src/source_ring.rs
+++ b/crates/core/src/source_ring.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::source_list::SourcePlace;
-
 /// How long a source that failed is passed over while others are left.
 const PASSED_OVER: Duration = Duration::from_secs(5);
 
@@ -18,10 +16,7 @@
 #[derive(Clone, Debug)]
 pub struct SourceRing {
     failure_domain: Arc<str>,
-    /// Those that sources told of, in the order in which this follower
-    /// prefers them, then those that only settings name.
     sources: Vec<KnownSource>,
-    told: Vec<SourcePlace>,
     current: usize,
     away_since: Option<Duration>,
 }
@@ -59,64 +54,26 @@
         Self {
             failure_domain,
             sources,
-            told: Vec::new(),
             current,
             away_since: None,
         }
     }
 
-    /// A source told which instances can be asked, in the order in which
-    /// this follower prefers them. True where it turns to a nearer one.
-    pub fn learn(
-        &mut self,
-        now: Duration,
-        named: &[SocketAddr],
-        told: Vec<SourcePlace>,
-    ) -> bool {
-        let before = self.current();
-        self.told = told;
-        // The list of a leader that has just begun is short; one that answers
-        // well is not left for that.
-        let answers = &self.sources[self.current];
-        let listed = self.told.iter().any(|place| place.address == before);
-        if let Some(failure_domain) = answers.failure_domain.clone().filter(|_| !listed) {
-            self.told.push(SourcePlace {
-                address: before,
-                failure_domain,
-            });
-        }
-        self.replace(now, named);
-        let current = &self.sources[self.current];
-        if self.rank(now, current) != SourceRank::Near {
-            self.choose(now);
-        }
-        self.current() != before
-    }
-
     /// Takes other addresses, not empty, in place of those held; what is
     /// known of those that stay is kept.
     pub fn replace(&mut self, now: Duration, addresses: &[SocketAddr]) {
         let current = self.current();
-        let told = self.told.iter().map(|place| place.address);
-        let mut sources: Vec<KnownSource> = Vec::new();
-        for address in told.chain(addresses.iter().copied()) {
-            if sources.iter().any(|source| source.address == address) {
-                continue;
-            }
-            let held = self.sources.iter().find(|held| held.address == address);
-            let place = self.told.iter().find(|place| place.address == address);
-            let mut source = held.cloned().unwrap_or(KnownSource {
-                address,
+        let mut sources = Vec::with_capacity(addresses.len());
+        for address in addresses {
+            let held = self.sources.iter().find(|held| held.address == *address);
+            sources.push(held.cloned().unwrap_or(KnownSource {
+                address: *address,
                 failure_domain: None,
                 failed_at: None,
-            });
-            if let Some(place) = place {
-                source.failure_domain = Some(Arc::clone(&place.failure_domain));
-            }
-            sources.push(source);
+            }));
         }
         self.sources = sources;
-        let place = self.sources.iter().position(|held| held.address == current);
+        let place = addresses.iter().position(|address| *address == current);
         self.current = place.unwrap_or(0);
         if place.is_none() {
             self.choose(now);
@@ -160,22 +117,6 @@
         self.choose(now);
     }
 
-    /// The source in use cannot tell whether it is behind; turns to one of
-    /// another failure domain, where there is one.
-    ///
-    /// Guards against a failure domain that is cut off from the leader while
-    /// its nodes reach everyone: asked in turn, its instances keep a node with
-    /// an old version for as long as each of them takes to find out.
-    pub fn unsure(&mut self, now: Duration) {
-        let domain = self.sources[self.current].failure_domain.clone();
-        for source in &mut self.sources {
-            if domain.is_some() && source.failure_domain == domain {
-                source.failed_at = Some(now);
-            }
-        }
-        self.failed(now);
-    }
-
     /// The best source after the current one, in the order of the ring.
     fn choose(&mut self, now: Duration) {
         let count = self.sources.len();
--- a/crates/core/tests/distribution_faults.rs
+++ b/crates/core/tests/distribution_faults.rs
@@ -16,7 +16,6 @@
 use cowslip_core::news_source::LeaderNews;
 use cowslip_core::news_source::NewsSource;
 use cowslip_core::news_source::SourceIdentity;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::version::ConfigVersion;
 use cowslip_core::version_follower::FollowStep;
@@ -89,10 +88,7 @@
     NewsSource::new(SourceIdentity {
         instance: name.as_str().into(),
         // One domain: no unconfirmed version is ever enough.
-        place: SourcePlace {
-            address: ([127, 0, 0, 1], 7_000).into(),
-            failure_domain: "sogn".into(),
-        },
+        failure_domain: "sogn".into(),
         run,
     })
 }
@@ -171,8 +167,6 @@
             directory,
             wait_ms: 0,
             node_domain: None,
-            serves: None,
-            sources: 0,
         };
         let answer = ask(&mut self.leader, self.now, call);
         if !arrives {
@@ -191,7 +185,6 @@
             snapshot,
             endpoints: answer.directory.records,
             run: 1,
-            sources: None,
         };
         self.relays[relay].install(self.now, news);
     }
@@ -207,8 +200,6 @@
             directory: node.directory.ask(),
             wait_ms: 5_000,
             node_domain: Some("voss".into()),
-            serves: None,
-            sources: 0,
         };
         let life = node.life;
         let id = self.relays[relay].follow(self.now, call);
--- a/crates/core/tests/news_source.rs
+++ b/crates/core/tests/news_source.rs
@@ -21,8 +21,6 @@
 use cowslip_core::news_source::NewsSource;
 use cowslip_core::news_source::SourceIdentity;
 use cowslip_core::report_gather::ReportBatch;
-use cowslip_core::source_list;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::version::ConfigVersion;
 
@@ -43,17 +41,10 @@
     }
 }
 
-fn place() -> SourcePlace {
-    SourcePlace {
-        address: ([127, 0, 0, 1], 7_000).into(),
-        failure_domain: "sogn".into(),
-    }
-}
-
 fn source(name: &str, run: u64) -> NewsSource {
     NewsSource::new(SourceIdentity {
         instance: name.into(),
-        place: place(),
+        failure_domain: "sogn".into(),
         run,
     })
 }
@@ -78,8 +69,6 @@
         directory,
         wait_ms: 4_000,
         node_domain: Some("voss".into()),
-        serves: None,
-        sources: source_list::digest_of(&[place()]),
     }
 }
 
@@ -301,8 +290,6 @@
         now,
         FollowCall {
             node_domain: None,
-            serves: None,
-            sources: 0,
             ..call("relay", 0, DirectoryFollower::default().ask())
         },
     );
@@ -317,7 +304,6 @@
             snapshot: Some(leader.current().clone()),
             endpoints: records.clone(),
             run,
-            sources: None,
         };
         relay.install(now, news);
     }
--- a/crates/core/tests/start_herd.rs
+++ b/crates/core/tests/start_herd.rs
@@ -2,14 +2,9 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
-use rand::SeedableRng;
-
 use cowslip_core::catch_up_window::CatchUpWindow;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
@@ -23,9 +18,6 @@
 use cowslip_core::news_source::NewsSource;
 use cowslip_core::news_source::SourceIdentity;
 use cowslip_core::report_gather::ReportBatch;
-use cowslip_core::source_list::SourceList;
-use cowslip_core::source_list::SourcePlace;
-use cowslip_core::source_ring::SourceRing;
 use cowslip_core::version::ConfigVersion;
 
 /// Records of the directory.
@@ -35,17 +27,10 @@
     Duration::from_millis(millis)
 }
 
-fn place(number: u16) -> SourcePlace {
-    SourcePlace {
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000 + number)),
-        failure_domain: format!("domain-{}", number % 5).into(),
-    }
-}
-
 fn source() -> NewsSource {
     let mut source = NewsSource::new(SourceIdentity {
         instance: "control".into(),
-        place: place(0),
+        failure_domain: "domain-0".into(),
         run: 7,
     });
     let mut document = FleetDocument::default();
@@ -104,8 +89,6 @@
         directory: directory.ask(),
         wait_ms: 400,
         node_domain: Some("domain-0".into()),
-        serves: None,
-        sources: 0,
     }
 }
 
@@ -143,7 +126,6 @@
                     coming.push(Reverse((now + ms(after.max(1)), number)));
                 }
                 FollowReply::News(news) if !started => {
-                    assert_eq!(news.sources, None, "it would turn away at once");
                     busy_until = now + cost;
                     directory.take(news.directory);
                     last = last.max(busy_until);
@@ -234,80 +216,3 @@
     }
     assert!(taken >= 40, "{taken} at once");
 }
-
-// Nodes know three control instances by their settings, and ten are up. All
-// nodes at the three, those are busy and the others idle.
-#[test]
-fn nodes_spread_over_the_instances_that_are_up() {
-    let named: Vec<SocketAddr> = (0..3).map(|number| place(number).address).collect();
-    let mut list = SourceList::default();
-    for number in 1..10 {
-        list.hear(ms(0), place(number));
-    }
-    assert!(list.settle(ms(100), &place(0)));
-    let places = list.news(0).expect("a list");
-    let mut load = [0; 10];
-    for node in 0..300_usize {
-        let domain: Arc<str> = format!("domain-{}", node % 5).into();
-        let mut ring = SourceRing::new(Arc::clone(&domain), &named, node);
-        let mut told = places.clone();
-        told.shuffle(&mut SmallRng::seed_from_u64(node as u64));
-        ring.learn(ms(200), &named, told);
-        let current = ring.current();
-        load[usize::from(current.port()) - 7_000] += 1;
-        let chosen = places.iter().find(|place| place.address == current);
-        assert_eq!(chosen.map(|place| &place.failure_domain), Some(&domain));
-    }
-    let busiest = load.iter().max().copied().unwrap_or_default();
-    assert!(busiest <= 45, "{load:?}");
-}
-
-// A control instance ends, and comes back at another address.
-#[test]
-fn silent_instances_leave_the_list() {
-    let mut list = SourceList::default();
-    list.hear(ms(0), place(1));
-    assert!(list.settle(ms(100), &place(0)));
-    let held = list.digest();
-    assert!(!list.settle(ms(200), &place(0)));
-    assert_eq!(list.news(held), None);
-    assert!(list.settle(ms(5_000), &place(0)));
-    assert_eq!(list.news(held), Some(vec![place(0)]));
-}
-
-// A new leader has heard from nobody yet. Its short list takes no node away
-// from an instance that answers.
-#[test]
-fn a_short_list_moves_no_node() {
-    let named: Vec<SocketAddr> = (0..3).map(|number| place(number).address).collect();
-    let mut ring = SourceRing::new("domain-4".into(), &named, 0);
-    let places: Vec<SourcePlace> = (0..10).map(place).collect();
-    assert!(ring.learn(ms(0), &named, places));
-    let near = ring.current();
-    ring.answered(ms(10), &"domain-4".into());
-    assert!(!ring.learn(ms(20), &named, vec![place(0)]));
-    assert_eq!(ring.current(), near);
-}
-
-// A failure domain with two instances is cut off from the leader, and its nodes
-// reach everyone. Each instance takes a while to find out that it is behind; a
-// node that asks one after the other keeps the old version too long.
-#[test]
-fn an_unsure_instance_speaks_for_its_failure_domain() {
-    let named: Vec<SocketAddr> = (0..3).map(|number| place(number).address).collect();
-    for seed in 0..20 {
-        let mut ring = SourceRing::new("domain-0".into(), &named, 0);
-        let mut places: Vec<SourcePlace> = (0..10).map(place).collect();
-        places.shuffle(&mut SmallRng::seed_from_u64(seed));
-        ring.learn(ms(0), &named, places.clone());
-        let domain_of = |ring: &SourceRing| {
-            let current = ring.current();
-            let place = places.iter().find(|place| place.address == current);
-            place.map(|place| Arc::clone(&place.failure_domain))
-        };
-        ring.answered(ms(10), &"domain-0".into());
-        assert_eq!(domain_of(&ring), Some("domain-0".into()));
-        ring.unsure(ms(2_000));
-        assert_ne!(domain_of(&ring), Some("domain-0".into()));
-    }
-}
--- a/crates/core/tests/version_follower.rs
+++ b/crates/core/tests/version_follower.rs
@@ -57,7 +57,6 @@
         refused: follower.refused().unwrap_or_default(),
         whole: follower.wants_whole(),
         revision: 0,
-        sources: 0,
     })
 }
 
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -8,9 +8,6 @@
 use bytes::Bytes;
 use log::info;
 use log::warn;
-use rand::rngs::SmallRng;
-use rand::seq::SliceRandom;
-use rand::SeedableRng;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -22,8 +19,6 @@
 use cowslip_core::move_board::NodeReport;
 use cowslip_core::reconnect_backoff::ReconnectBackoff;
 use cowslip_core::report_gather::ReportBatch;
-use cowslip_core::source_list;
-use cowslip_core::source_list::SourcePlace;
 use cowslip_core::source_ring::SourceRing;
 use cowslip_core::version::ConfigVersion;
 use cowslip_core::version_follower::FollowStep;
@@ -114,7 +109,6 @@
         versions: VersionFollower::new(Duration::ZERO),
         directory: DirectoryFollower::default(),
         waited: false,
-        sources: 0,
         started: Instant::now(),
     };
     actix_rt::spawn(follower.run());
@@ -129,8 +123,6 @@
     versions: VersionFollower,
     directory: DirectoryFollower,
     waited: bool,
-    /// Digest of the list of control instances that the ring holds.
-    sources: u64,
     backoff: ReconnectBackoff,
     started: Instant,
 }
@@ -172,9 +164,7 @@
                 Ok(TurnEnd::Turn) => self.turn_away(),
                 Ok(TurnEnd::Unsure) => {
                     self.plan.metrics.wait();
-                    self.waited = false;
-                    self.ring.unsure(self.started.elapsed());
-                    self.current.send_replace(self.ring.current());
+                    self.turn_away();
                     self.backoff.succeed();
                     self.pace.wait / 2
                 }
@@ -226,8 +216,6 @@
             directory: self.directory.ask(),
             wait_ms: self.pace.wait.as_millis() as u64,
             node_domain: Some(Arc::clone(&self.plan.failure_domain)),
-            serves: None,
-            sources: self.sources,
         };
         let address = self.ring.current();
         let client = &self.plan.client;
@@ -252,11 +240,7 @@
         }
         // The entry task ends only with the node.
         let _ = self.plan.entry.send(EntryMessage::Heard).await;
-        let mut turned = self.ring.answered(self.started.elapsed(), &domain);
-        if let Some(places) = answer.sources {
-            turned |= self.learn(places);
-        }
-        if turned {
+        if self.ring.answered(self.started.elapsed(), &domain) {
             self.current.send_replace(self.ring.current());
         }
         // Guards against a node that stays with an instance cut off from the
@@ -267,22 +251,6 @@
         Ok(TurnEnd::Stay)
     }
 
-    /// Takes the list of control instances; true where another one is asked
-    /// from now on.
-    fn learn(&mut self, mut places: Vec<SourcePlace>) -> bool {
-        self.sources = source_list::digest_of(&places);
-        // Each node in an order of its own, so that they spread.
-        places.shuffle(&mut SmallRng::seed_from_u64(self.plan.seed));
-        let controls = self.plan.controls.borrow().clone();
-        let listed = places.len();
-        let turned = self.ring.learn(self.started.elapsed(), &controls, places);
-        info!(
-            "event=controls-learnt process=node listed={listed} control={} turned={turned}",
-            self.ring.current()
-        );
-        turned
-    }
-
     async fn take_directory(&mut self, news: DirectoryNews) {
         let run = self.directory.place().run;
         let changed = self.directory.take(news);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -159,9 +159,8 @@
         let listen = controls[at];
         Ok(format!(
             "instance: \"{listen}\"\nfailure_domain: domain-{at}\nlisten: {listen}\n\
-             nodes_address: {}\nadmin_listen: {}\ndata_folder: {}\nseeds: [{}]\nfirst_start: {first_start}\n\
+             admin_listen: {}\ndata_folder: {}\nseeds: [{}]\nfirst_start: {first_start}\n\
              losses: 1\noperator_key: {OPERATOR_KEY}\nsystem_key: {SYSTEM_KEY}\n",
-            self.to_controls[at].address(),
             own_address(20 + at)?,
             self.data_folder(at).display(),
             seeds.join(", ")
