The node beside a cold backend server limits its calls in any second

Cause: nothing read how long a server stays cold or how much it then tolerates. The limit on calls in flight does not help: a server that answers in 55 ms gets a hundred calls a second through six slots.

Change: documents say per service how long a server is cold and how many calls it then tolerates; `cold_percent` and `cold_burst` say what it gets of that. The server's own node, which every call passes, counts calls from their grant until a second after they were sent (`SendWindow`), and grants no more than the limit while the server is cold (`ColdLimit`, `ColdPeriod`). Cold is: what the run's reports and the health page say; a first report that says nothing; what listens after a crash; and a node that has just started takes the whole limit as spent for a second. A late report of "warm" does not end an assumed period. Each crash of a cold server halves what its next run gets. Queued calls wait by the pace, and the wait that entry nodes are told includes it.

Ruled out: a bucket (two limits pass at the border of two seconds); counting at the grant (calls wait for connections after it); entry nodes (80 of them, none knows what the others send).

--- a/crates/cli/src/document_file.rs
+++ b/crates/cli/src/document_file.rs
@@ -9,6 +9,7 @@
 
 use cowslip_core::document::CallPriority;
 use cowslip_core::document::CandidateShare;
+use cowslip_core::document::ColdStartSpec;
 use cowslip_core::document::ExceptionEntry;
 use cowslip_core::document::ExceptionScope;
 use cowslip_core::document::FleetDocument;
@@ -58,14 +59,29 @@
         let version =
             reader.required::<String>("version", "the backend server version in use");
         let candidate: Option<CandidateEntry> = reader.group("candidate");
+        let cold_start: Option<ColdStartEntry> = reader.group("cold_start");
         Some(Self(ServiceSpec {
             version: version?.into(),
             candidate: candidate.map(|entry| entry.0),
+            cold_start: cold_start.map(|entry| entry.0),
             ..ServiceSpec::default()
         }))
     }
 }
 
+struct ColdStartEntry(ColdStartSpec);
+
+impl FromSettings for ColdStartEntry {
+    fn from_settings(reader: &mut SettingsReader<'_>) -> Option<Self> {
+        let time_ms = reader.required("time_ms", "a whole number of milliseconds");
+        let calls = reader.required("calls_per_minute", "a whole number of calls");
+        Some(Self(ColdStartSpec {
+            time_ms: time_ms?,
+            calls_per_minute: calls?,
+        }))
+    }
+}
+
 struct CandidateEntry(CandidateShare);
 
 impl FromSettings for CandidateEntry {
--- a/crates/cli/src/stand_in.rs
+++ b/crates/cli/src/stand_in.rs
@@ -123,6 +123,7 @@
             version: Arc::clone(&self.config.version),
             address: self.listener.address(),
             slots: self.config.slots,
+            cold_ms: None,
         };
         let sent = Client::default().post(format!("http://{node}/announce"));
         let response = sent.send_body(serde_json::to_vec(&body)?).await;
--- a/crates/cli/tests/calls/fleet_calls.rs
+++ b/crates/cli/tests/calls/fleet_calls.rs
@@ -131,6 +131,7 @@
 /// `tested`. Other nodes learn of it later.
 pub async fn announce(node: &NodeDaemon, address: SocketAddr, slots: u32) {
     let body = AnnounceBody {
+        cold_ms: None,
         service: "tested".into(),
         version: "v1".into(),
         address,
--- a/crates/core/benches/load_decisions.rs
+++ b/crates/core/benches/load_decisions.rs
@@ -135,6 +135,7 @@
         slots: 10,
     });
     gate.configure(QueueBounds {
+        cold: None,
         slots_floor: 25,
         calls: capacity,
         wait: Duration::from_secs(600),
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -108,11 +108,25 @@
     /// Maximum number of connections to one backend server.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub connections_max: Option<u32>,
+    /// How the backend servers behave after a start; absent if they take their
+    /// full load at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStartSpec>,
     /// Operators' labels of the service; stored and shown, but not interpreted.
     #[serde(default, skip_serializing_if = "LabelTable::is_empty")]
     pub labels: LabelTable,
 }
 
+/// Behaviour of a service's backend servers after a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStartSpec {
+    /// How long a server is cold, in milliseconds.
+    pub time_ms: u64,
+    /// Calls that a cold server tolerates in a minute.
+    pub calls_per_minute: u64,
+}
+
 impl ServiceSpec {
     /// True if any version that a backend server announces is in service.
     pub fn takes_any_version(&self) -> bool {
--- a/crates/core/src/document/validate.rs
+++ b/crates/core/src/document/validate.rs
@@ -15,6 +15,7 @@
 use super::ExceptionEntry;
 use super::FleetDocument;
 use super::RouteSpec;
+use super::ServiceSpec;
 
 /// Maximum length of a name in bytes; names appear in every log line.
 const NAME_BYTES_MAX: usize = 64;
@@ -30,6 +31,12 @@
 /// ten minutes.
 const TIMEOUT_MS: RangeInclusive<u64> = 1..=600_000;
 
+/// Allowed cold times of a service's servers, in milliseconds.
+const COLD_TIME_MS: RangeInclusive<u64> = 1..=600_000;
+
+/// Allowed numbers of calls that a cold server tolerates in a minute.
+const COLD_CALLS_PER_MINUTE: RangeInclusive<u64> = 1..=60_000_000;
+
 /// A fault of a document or of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentFault {
@@ -151,6 +158,7 @@
         let path = format!("services.{name}");
         faults.check_name(path.clone(), name);
         faults.check_name(format!("{path}.version"), &spec.version);
+        check_cold_start(spec, &path, faults);
         let Some(candidate) = &spec.candidate else {
             continue;
         };
@@ -170,6 +178,26 @@
     }
 }
 
+fn check_cold_start(spec: &ServiceSpec, path: &str, faults: &mut FaultList) {
+    let Some(cold_start) = spec.cold_start else {
+        return;
+    };
+    let fields = [
+        ("time_ms", cold_start.time_ms, COLD_TIME_MS),
+        (
+            "calls_per_minute",
+            cold_start.calls_per_minute,
+            COLD_CALLS_PER_MINUTE,
+        ),
+    ];
+    for (field, value, range) in fields {
+        if !range.contains(&value) {
+            let problem = out_of_range(value, &range);
+            faults.push(format!("{path}.cold_start.{field}"), problem);
+        }
+    }
+}
+
 fn check_routes(document: &FleetDocument, faults: &mut FaultList) {
     let mut seen = HashSet::new();
     for (at, route) in document.routes.iter().enumerate() {
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -25,6 +25,7 @@
 use crate::document::RouteSpec;
 use crate::document::ServiceSpec;
 use crate::load::answer_value::AnswerValue;
+use crate::load::cold_limit::ColdRule;
 use crate::load::fleet_servers::FleetServers;
 use crate::load::repeat_probability::RepeatProbability;
 use crate::load::retry_budget::BudgetConfig;
@@ -207,12 +208,23 @@
         let document = &self.snapshot.document;
         let wait_ms = document.tuning(TuningKey::QueueWaitMs, &context);
         QueueBounds {
+            cold: self.cold_rule(service, &context),
             slots_floor: document.tuning(TuningKey::SlotsFloor, &context) as u32,
             calls: document.tuning(TuningKey::QueueCalls, &context) as usize,
             wait: Duration::from_millis(wait_ms),
         }
     }
 
+    /// Limit on calls to a cold backend server of `service`, if its document sets
+    /// one.
+    fn cold_rule(&self, service: &str, context: &CallContext<'_>) -> Option<ColdRule> {
+        let document = &self.snapshot.document;
+        let cold_start = document.services.get(service)?.cold_start?;
+        let percent = document.tuning(TuningKey::ColdPercent, context);
+        let burst = document.tuning(TuningKey::ColdBurst, context);
+        Some(ColdRule::of(cold_start, percent, burst))
+    }
+
     /// Names of the services in the configuration in use.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.snapshot.document.services.keys()
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -9,6 +9,8 @@
 pub mod answer_value;
 pub mod call_queue;
 pub mod caller_ages;
+pub mod cold_limit;
+pub mod cold_period;
 pub mod concurrency_limit;
 pub mod customer_lane;
 pub mod customer_throttle;
@@ -23,6 +25,7 @@
 pub mod retry_budget;
 pub mod retry_delay;
 pub mod returning_callers;
+pub mod send_window;
 pub mod server_load;
 pub mod server_pool;
 pub mod service_load;
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -14,6 +14,8 @@
 use crate::load::call_queue::CallTicket;
 use crate::load::call_queue::JobLength;
 use crate::load::call_queue::WaitingCall;
+use crate::load::cold_limit::ColdLimit;
+use crate::load::cold_limit::ColdRule;
 use crate::load::concurrency_limit::ConcurrencyLimit;
 use crate::load::late_call_limit;
 use crate::load::queue_order::QueueOrder;
@@ -111,6 +113,8 @@
     pub wait: Duration,
     /// Lower bound of the concurrency limit, in percent of the announced slots.
     pub slots_floor: u32,
+    /// Limit on calls to a cold server; `None` if the service has none.
+    pub cold: Option<ColdRule>,
 }
 
 impl Default for QueueBounds {
@@ -119,6 +123,7 @@
             calls: TuningKey::QueueCalls.built_in() as usize,
             wait: Duration::from_millis(TuningKey::QueueWaitMs.built_in()),
             slots_floor: TuningKey::SlotsFloor.built_in() as u32,
+            cold: None,
         }
     }
 }
@@ -142,6 +147,7 @@
     draining: bool,
     bounds: QueueBounds,
     limit: ConcurrencyLimit,
+    cold: ColdLimit,
     times: ServiceTimes,
     running: HashMap<CallTicket, RunningCall>,
     running_long: u32,
@@ -165,6 +171,7 @@
             draining: false,
             bounds: QueueBounds::default(),
             limit: ConcurrencyLimit::new(0),
+            cold: ColdLimit::default(),
             times: ServiceTimes::default(),
             running: HashMap::new(),
             running_long: 0,
@@ -193,6 +200,18 @@
     pub fn configure(&mut self, bounds: QueueBounds) {
         self.bounds = bounds;
         self.limit.set_floor(bounds.slots_floor);
+        self.cold.configure(bounds.cold);
+    }
+
+    /// Limit on the calls to the server while it is cold.
+    pub fn cold(&self) -> &ColdLimit {
+        &self.cold
+    }
+
+    /// Limit on the calls to the server while it is cold, to record what the
+    /// server reports.
+    pub fn cold_mut(&mut self) -> &mut ColdLimit {
+        &mut self.cold
     }
 
     /// Starts a drain: new calls are refused from now on, and all queued calls
@@ -246,9 +265,12 @@
         if let Some(target) = call.target_left {
             self.times.add_prior(&call.route, target);
         }
-        let skips_queue = call.inner && self.has_free_slot();
-        let full = !self.queue.is_empty() || self.in_flight() >= self.limit.allowed();
-        let expected = self.expected_wait();
+        let may_send = self.cold.admits(now);
+        let skips_queue = call.inner && self.has_free_slot() && may_send;
+        let full = !self.queue.is_empty()
+            || self.in_flight() >= self.limit.allowed()
+            || !may_send;
+        let expected = self.expected_wait(now);
         let accepts_wait = call.wait_max.is_none_or(|max| expected <= max);
         if full && !skips_queue && !accepts_wait {
             return vec![GateAction::Refuse(ticket, RefusalReason::NoFreeSlot)];
@@ -341,8 +363,13 @@
         Some(now + slack)
     }
 
-    /// Expected wait for a slot of a call that arrives now.
-    pub fn expected_wait(&self) -> Duration {
+    /// Expected wait of a call that arrives now, until it is sent.
+    pub fn expected_wait(&self, now: Duration) -> Duration {
+        let cold_wait = self.cold.wait(now, self.queue.timely());
+        self.expected_slot_wait().max(cold_wait)
+    }
+
+    fn expected_slot_wait(&self) -> Duration {
         let allowed = self.limit.allowed();
         if self.queue.is_empty() && self.in_flight() < allowed {
             return Duration::ZERO;
@@ -405,6 +432,8 @@
     ) -> Vec<GateAction> {
         let mut actions = Vec::new();
         let in_flight = self.in_flight();
+        // A call that ends without a known send may have been sent until now.
+        self.cold.record_sent(now, ticket);
         if let Some(call) = self.running.remove(&ticket) {
             self.record_outcome(now, &call, in_flight, outcome);
         } else {
@@ -463,22 +492,28 @@
         self.outbound.end();
     }
 
-    /// Refuses the queued calls whose wait has timed out.
+    /// Refuses the queued calls whose wait has timed out, and starts those that a
+    /// cold server may get by now.
     pub fn wake(&mut self, now: Duration) -> Vec<GateAction> {
         let mut actions = Vec::new();
-        self.refuse_expired(now, &mut actions);
+        self.start_waiting(now, &mut actions);
         actions
     }
 
     /// Time at which [`ServerGate::wake`] must be called next, if any call is
     /// queued.
-    pub fn next_wake(&self) -> Option<Duration> {
-        self.queue.next_expiry()
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let expiry = self.queue.next_expiry()?;
+        let cold_wait = self.cold.wait(now, 0);
+        if cold_wait.is_zero() {
+            return Some(expiry);
+        }
+        Some(expiry.min(now + cold_wait))
     }
 
     fn start_waiting(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
         self.refuse_expired(now, actions);
-        while self.in_flight() < self.limit.allowed() {
+        while self.in_flight() < self.limit.allowed() && self.cold.admits(now) {
             let long_job_allowed = self.running_long < self.long_jobs_max();
             let late_call_allowed =
                 late_call_limit::may_start(self.in_flight(), self.limit.allowed());
@@ -507,6 +542,7 @@
             outbound: self.outbound.mark(),
         };
         self.running.insert(call.ticket, running);
+        self.cold.grant(call.ticket);
     }
 
     fn long_jobs_max(&self) -> u32 {
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -39,6 +39,12 @@
     QueueCalls,
     /// Longest wait of a call in that queue, in milliseconds.
     QueueWaitMs,
+    /// Calls that a cold backend server gets in a second, in percent of those
+    /// that its service's document says it tolerates.
+    ColdPercent,
+    /// Calls that a cold backend server gets in a second in addition to
+    /// `ColdPercent`.
+    ColdBurst,
     /// First traffic share of a new version, in per mille of the calls.
     MoveFirstShare,
     /// Calls that a new version must receive before each step of its share.
@@ -65,6 +71,8 @@
         Self::SlotsFloor,
         Self::QueueCalls,
         Self::QueueWaitMs,
+        Self::ColdPercent,
+        Self::ColdBurst,
         Self::MoveFirstShare,
         Self::MoveStepCalls,
         Self::MoveExposure,
@@ -84,6 +92,8 @@
             Self::SlotsFloor => "slots_floor",
             Self::QueueCalls => "queue_calls",
             Self::QueueWaitMs => "queue_wait_ms",
+            Self::ColdPercent => "cold_percent",
+            Self::ColdBurst => "cold_burst",
             Self::MoveFirstShare => "move_first_share",
             Self::MoveStepCalls => "move_step_calls",
             Self::MoveExposure => "move_exposure",
@@ -104,6 +114,8 @@
             Self::SlotsFloor => 25,
             Self::QueueCalls => 64,
             Self::QueueWaitMs => 1_000,
+            Self::ColdPercent => 100,
+            Self::ColdBurst => 0,
             Self::MoveFirstShare => 5,
             Self::MoveStepCalls => 30,
             Self::MoveExposure => 0,
@@ -124,6 +136,8 @@
             Self::SlotsFloor => 1..=100,
             Self::QueueCalls => 0..=100_000,
             Self::QueueWaitMs => 0..=600_000,
+            Self::ColdPercent => 1..=1_000,
+            Self::ColdBurst => 0..=100_000,
             Self::MoveFirstShare => 1..=500,
             Self::MoveStepCalls => 1..=1_000_000,
             Self::MoveExposure => 0..=100,
--- a/crates/core/tests/free_slots.rs
+++ b/crates/core/tests/free_slots.rs
@@ -174,6 +174,7 @@
         slots,
     });
     gate.configure(QueueBounds {
+        cold: None,
         calls: 64,
         wait: millis(2_000),
         slots_floor: 100,
@@ -218,7 +219,7 @@
     let reason = RefusalReason::NoFreeSlot;
     assert_eq!(refused, vec![GateAction::Refuse(2, reason)]);
     assert_eq!(gate.waiting(), 0);
-    assert!(gate.expected_wait() > Duration::ZERO);
+    assert!(gate.expected_wait(Duration::ZERO) > Duration::ZERO);
 }
 
 // Guards against serving in order of arrival under overload. With three times
--- a/crates/core/tests/load_gate.rs
+++ b/crates/core/tests/load_gate.rs
@@ -38,6 +38,7 @@
         slots: SLOTS,
     });
     gate.configure(QueueBounds {
+        cold: None,
         slots_floor: 25,
         calls: QUEUE_MAX,
         wait: millis(300),
--- a/crates/core/tests/load_patterns/fake_fleet.rs
+++ b/crates/core/tests/load_patterns/fake_fleet.rs
@@ -426,7 +426,7 @@
         let GateKind::Real(gate) = &held.gate else {
             return;
         };
-        let Some(at) = gate.next_wake() else {
+        let Some(at) = gate.next_wake(self.now) else {
             return;
         };
         if held.wake_at.is_none_or(|pending| at < pending) {
--- a/crates/core/tests/timely_overload.rs
+++ b/crates/core/tests/timely_overload.rs
@@ -64,6 +64,7 @@
             slots: SLOTS,
         });
         gate.configure(QueueBounds {
+            cold: None,
             calls: 64,
             wait: Duration::from_secs(2),
             slots_floor: 100,
@@ -235,7 +236,7 @@
     for ticket in 0..u64::from(SLOTS) * 3 {
         server.offer(now, ticket);
     }
-    let wait = server.gate.expected_wait();
+    let wait = server.gate.expected_wait(now);
     assert!(wait > TARGET / 8, "{wait:?}");
 }
 
--- a/crates/node/src/call_dialect.rs
+++ b/crates/node/src/call_dialect.rs
@@ -18,6 +18,9 @@
     pub server_run: HeaderName,
     /// Run of the backend server, in the response of its health page.
     pub health_page_run: HeaderName,
+    /// How many more milliseconds the backend server stays cold, in the response
+    /// of its health page.
+    pub health_page_cold_ms: HeaderName,
     /// Service whose instance sent the request.
     pub caller_service: HeaderName,
     /// Set by a server if it did not run the request.
@@ -36,6 +39,7 @@
             request_id: HeaderName::from_static(call_headers::REQUEST_ID),
             server_run: HeaderName::from_static(call_headers::SERVER_RUN),
             health_page_run: HeaderName::from_static(call_headers::SERVER_RUN),
+            health_page_cold_ms: HeaderName::from_static(call_headers::COLD_MS),
             caller_service: HeaderName::from_static(call_headers::CALLER_SERVICE),
             not_run: HeaderName::from_static(call_headers::NOT_RUN),
             fractional_retry_after: false,
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -102,6 +102,7 @@
             target: self.target.clone(),
             headers,
             request_id_header: dialect.request_id.clone(),
+            observer: None,
         }
     }
 }
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -42,6 +42,8 @@
 pub const REQUEST_ID: &str = "cowslip-request-id";
 /// To a backend server: run of the server that the request is meant for.
 pub const SERVER_RUN: &str = "cowslip-server-run";
+/// From a backend server's health page: how many more milliseconds it stays cold.
+pub const COLD_MS: &str = "cowslip-cold-ms";
 /// Service of the backend server beside the request's entry node.
 pub const CALLER_SERVICE: &str = "cowslip-caller";
 /// From a backend server: the request has not run and will not run.
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -61,6 +61,9 @@
     pub warm: bool,
     /// Run of the backend server, if it names its runs.
     pub run: Option<Arc<str>>,
+    /// Whether the gate must be told when the request has been sent, because
+    /// calls to cold servers of this service are limited.
+    pub counts_sends: bool,
 }
 
 /// A periodic report from a backend server.
@@ -72,6 +75,21 @@
     pub server: AnnouncedServer,
     /// Address of the server.
     pub address: SocketAddr,
+    /// How much longer the server stays cold, if the report says so.
+    pub cold_remaining: Option<Duration>,
+}
+
+/// A run that a health check found before its first report.
+#[derive(Clone, Debug)]
+pub struct FoundRun {
+    /// Name of the run.
+    pub run: Arc<str>,
+    /// Assumed service, version and slots.
+    pub server: AnnouncedServer,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// How much longer the server stays cold, if the health page says so.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// Result of an announcement.
@@ -83,12 +101,18 @@
 /// A message to the gate task.
 #[derive(Debug)]
 pub enum GateMessage {
-    /// The backend server at this address announced itself.
-    Announce(AnnouncedServer, SocketAddr, oneshot::Sender<AnnounceAnswer>),
+    /// The backend server at this address announced itself, with its remaining
+    /// cold time if it states one.
+    Announce(
+        AnnouncedServer,
+        SocketAddr,
+        Option<Duration>,
+        oneshot::Sender<AnnounceAnswer>,
+    ),
     /// A periodic report; answered once the gate has applied it.
     Report(ServerReport, oneshot::Sender<()>),
     /// A health check found a run that has not reported yet.
-    RunFound(Arc<str>, AnnouncedServer, SocketAddr),
+    RunFound(FoundRun),
     /// The run takes no more work. The time is its start in milliseconds, if
     /// known; answered once the gate has applied it.
     DeregisterRun(Arc<str>, Option<u64>, oneshot::Sender<()>),
@@ -102,6 +126,8 @@
     Probed(SocketAddr, ProbeResult),
     /// A call requests a slot.
     AcquireSlot(CallTicket, OfferedCall, oneshot::Sender<SlotAnswer>),
+    /// The request of a call was sent to the backend server.
+    RequestSent(CallTicket),
     /// A call ended, or its caller stopped waiting for a slot.
     ReleaseSlot(CallTicket, SlotOutcome),
     /// The backend server started an outbound call.
@@ -157,6 +183,8 @@
     started: BootInstant,
     server: Option<SocketAddr>,
     cold_start: ColdStart,
+    /// Whether the log says that the server is cold.
+    cold_logged: bool,
     announcer: EndpointAnnouncer,
     records: mpsc::UnboundedSender<EndpointRecord>,
 }
@@ -192,6 +220,7 @@
         started: BootInstant::now(),
         server: None,
         cold_start: ColdStart::default(),
+        cold_logged: false,
         announcer: EndpointAnnouncer::new(wall_clock::millis()),
         records,
     };
@@ -207,29 +236,42 @@
                     Some(message) => self.handle(message),
                     None => break,
                 },
-                () = wait_until(self.started, self.gate.next_wake()) => {
+                () = wait_until(self.started, self.next_wake()) => {
                     let actions = self.gate.wake(self.started.elapsed());
                     self.apply(actions);
                 }
             }
-            self.status.expected_wait.set(self.gate.expected_wait());
+            let now = self.started.elapsed();
+            self.status.expected_wait.set(self.gate.expected_wait(now));
             self.status.repeat_probability.set(self.gate.repeats());
+            self.log_cold(now);
         }
     }
 
+    fn next_wake(&self) -> Option<Duration> {
+        self.gate.next_wake(self.started.elapsed())
+    }
+
     fn handle(&mut self, message: GateMessage) {
         let now = self.started.elapsed();
         match message {
-            GateMessage::Announce(server, address, reply) => {
-                let _ = reply.send(self.announce(now, server, address));
+            GateMessage::Announce(server, address, cold_remaining, reply) => {
+                let announced = self.announce(now, server, address, cold_remaining);
+                let _ = reply.send(announced);
             }
             GateMessage::Report(report, reply) => {
                 self.report(now, report);
                 let _ = reply.send(());
             }
-            GateMessage::RunFound(run, server, address) => {
-                if self.runs.discover(&run) {
-                    self.begin_run(&run, server, address);
+            GateMessage::RunFound(found) => {
+                if self.runs.discover(&found.run) {
+                    let FoundRun {
+                        run,
+                        server,
+                        address,
+                        cold_remaining,
+                    } = found;
+                    self.begin_run(now, &run, server, address, cold_remaining);
                 }
             }
             GateMessage::DeregisterRun(run, started_ms, reply) => {
@@ -254,6 +296,9 @@
                 let actions = self.gate.offer(now, ticket, call);
                 self.apply(actions);
             }
+            GateMessage::RequestSent(ticket) => {
+                self.gate.cold_mut().record_sent(now, ticket);
+            }
             GateMessage::ReleaseSlot(ticket, outcome) => {
                 self.waiters.remove(&ticket);
                 if let Some((route, work)) = self.gate.service_time(ticket) {
@@ -284,6 +329,7 @@
         now: Duration,
         server: AnnouncedServer,
         address: SocketAddr,
+        cold_remaining: Option<Duration>,
     ) -> AnnounceAnswer {
         let in_flight = self.gate.in_flight();
         self.presence.announce(now, address, in_flight)?;
@@ -296,6 +342,11 @@
             self.cold_start.restart();
             self.status.service_times.borrow_mut().clear();
         }
+        if !unchanged || self.server != Some(address) || self.gate.is_draining() {
+            self.gate.cold_mut().begin_run(now, cold_remaining);
+        } else if let Some(remaining) = cold_remaining {
+            self.gate.cold_mut().report(now, remaining);
+        }
         self.gate.announce(server);
         self.configure();
         self.server = Some(address);
@@ -312,8 +363,21 @@
                     self.endpoint.instance
                 );
             }
-            ReportEffect::Begins => self.begin_run(&run, report.server, report.address),
-            ReportEffect::Continues => self.continue_run(report.server),
+            ReportEffect::Begins => {
+                let ServerReport {
+                    server,
+                    address,
+                    cold_remaining,
+                    ..
+                } = report;
+                self.begin_run(now, &run, server, address, cold_remaining);
+            }
+            ReportEffect::Continues => {
+                if let Some(remaining) = report.cold_remaining {
+                    self.gate.cold_mut().report(now, remaining);
+                }
+                self.continue_run(report.server);
+            }
             ReportEffect::Leaves => {
                 if !self.gate.is_draining() {
                     self.presence.drain(now);
@@ -325,10 +389,13 @@
 
     fn begin_run(
         &mut self,
+        now: Duration,
         run: &Arc<str>,
         server: AnnouncedServer,
         address: SocketAddr,
+        cold_remaining: Option<Duration>,
     ) {
+        let replaced = self.gate.announced().is_some() && !self.gate.is_draining();
         if let Err(refusal) = self.presence.begin_run(address) {
             info!(
                 "event=run-refused process=node instance={} run={run} reason={}",
@@ -343,6 +410,10 @@
         );
         self.cold_start.restart();
         self.status.service_times.borrow_mut().clear();
+        if replaced {
+            self.gate.cold_mut().record_crash(now);
+        }
+        self.gate.cold_mut().begin_run(now, cold_remaining);
         self.gate.announce(server);
         self.configure();
         self.server = Some(address);
@@ -391,6 +462,7 @@
         }
         if result == ProbeResult::Refused {
             if self.presence.mark_unreachable() {
+                self.gate.cold_mut().record_crash(self.started.elapsed());
                 self.withdraw("server-lost");
             }
             return;
@@ -403,11 +475,36 @@
                 "event=server-back process=node instance={}",
                 self.endpoint.instance
             );
+            // What listens now is another run of the server, which has not
+            // reported yet.
+            self.gate.cold_mut().assume_cold(self.started.elapsed());
             self.gate.announce(server);
             self.publish();
         }
     }
 
+    /// Logs the start and the end of the time in which calls to the server are
+    /// limited.
+    fn log_cold(&mut self, now: Duration) {
+        let cold = self.gate.cold();
+        let limit = cold.limit(now);
+        if self.cold_logged == limit.is_some() {
+            return;
+        }
+        self.cold_logged = limit.is_some();
+        let instance = &self.endpoint.instance;
+        let Some(limit) = limit else {
+            info!("event=server-warm process=node instance={instance}");
+            return;
+        };
+        let warm_at = cold.warm_at(now).unwrap_or(now);
+        info!(
+            "event=server-cold process=node instance={instance} for_ms={} calls_per_second={limit} cold_crashes={}",
+            (warm_at - now).as_millis(),
+            cold.crashes()
+        );
+    }
+
     fn apply(&mut self, actions: Vec<GateAction>) {
         for action in actions {
             let (ticket, answer) = match action {
@@ -428,6 +525,7 @@
             server,
             warm: self.cold_start.record_call(),
             run: self.runs.run().cloned(),
+            counts_sends: self.gate.cold().has_rule(),
         })
     }
 
--- a/crates/node/src/hop.rs
+++ b/crates/node/src/hop.rs
@@ -9,6 +9,7 @@
 pub use self::hop_client::HopOptions;
 pub use self::hop_client::HopResponse;
 pub use self::hop_request::HopRequest;
+pub use self::hop_request::SendObserver;
 pub use self::response_body::ResponseBody;
 pub use self::response_body::ResponseError;
 
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -168,7 +168,7 @@
         let mut sent = false;
         let received = &mut self.received;
         let head = {
-            let sending = send(&mut writer, head_bytes, body);
+            let sending = send(&mut writer, head_bytes, body, request);
             tokio::pin!(sending);
             let reading = read_matching_head(&mut reader, &mut codec, received, request);
             tokio::pin!(reading);
@@ -291,12 +291,16 @@
     writer: &mut WriteHalf<'_>,
     mut head: BytesMut,
     body: &mut CallBody,
+    request: &HopRequest,
 ) -> Result<(), ExchangeError> {
     if let CallBody::Buffered(bytes) = body {
         head.extend_from_slice(bytes);
-        return Ok(writer.write_all(&head).await?);
+        writer.write_all(&head).await?;
+        request.notify_sent();
+        return Ok(());
     }
     writer.write_all(&head).await?;
+    request.notify_sent();
     let CallBody::Stream {
         first,
         length,
--- a/crates/node/src/hop/hop_request.rs
+++ b/crates/node/src/hop/hop_request.rs
@@ -1,11 +1,20 @@
 //! Head of a request to the next hop.
 
+use std::fmt;
+use std::rc::Rc;
+
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::Method;
 use actix_http::RequestHead;
 use actix_http::Uri;
 
+/// Learns when a request has been sent.
+pub trait SendObserver: fmt::Debug {
+    /// The head of the request has been written to the connection.
+    fn head_sent(&self);
+}
+
 /// Head of a request to the next hop.
 #[derive(Clone, Debug)]
 pub struct HopRequest {
@@ -17,6 +26,8 @@
     pub headers: HeaderMap,
     /// Header that carries the request ID; responses echo it.
     pub request_id_header: HeaderName,
+    /// Learns when the head has been sent, if anyone wants to know.
+    pub observer: Option<Rc<dyn SendObserver>>,
 }
 
 impl HopRequest {
@@ -27,6 +38,13 @@
             .map(|value| value.as_bytes())
     }
 
+    /// Tells the observer that the head has been sent.
+    pub(super) fn notify_sent(&self) {
+        if let Some(observer) = &self.observer {
+            observer.head_sent();
+        }
+    }
+
     /// Converts the head to the codec's type.
     pub(super) fn head(&self) -> RequestHead {
         let mut head = RequestHead::default();
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::Method;
 use actix_http::Request;
@@ -41,6 +42,10 @@
     pub address: SocketAddr,
     /// Number of requests that the server runs at once.
     pub slots: u32,
+    /// How many more milliseconds the server stays cold; a server that does not
+    /// say is taken to be cold when it starts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
 }
 
 /// HTTP handler for the backend server's requests.
@@ -123,8 +128,11 @@
         slots: announcement.slots,
     };
     let (reply, answer) = oneshot::channel();
+    let cold_remaining = announcement.cold_ms.map(Duration::from_millis);
+    let address = announcement.address;
+    let message = GateMessage::Announce(server, address, cold_remaining, reply);
     // The gate task ends only with the node.
-    let _ = gate.send(GateMessage::Announce(server, announcement.address, reply));
+    let _ = gate.send(message);
     match answer.await.unwrap_or(Err(PresenceRefusal::NodeStopping)) {
         Ok(()) => http_reply::text(StatusCode::OK, "announced"),
         Err(refusal) => http_reply::text(StatusCode::CONFLICT, refusal.to_string()),
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -48,6 +48,7 @@
 use crate::gate_task::SlotGrant;
 use crate::holder_task::HolderMessage;
 use crate::hop::HopResponse;
+use crate::hop::SendObserver;
 use crate::refusal_reply::refusal_reply;
 
 /// Bytes read of a backend server's refusal, so that its connection can be
@@ -164,10 +165,13 @@
         let (grant, mut slot) = self.acquire_slot(call).await?;
         let left = deadline_budget::for_next_hop(time_left(left, arrived)?);
         let sent = BootInstant::now();
-        let request = parts.hop_request(
+        let mut request = parts.hop_request(
             &self.dialect,
             self.server_headers(left, &grant, caller.as_deref()),
         );
+        if grant.counts_sends {
+            request.observer = Some(slot.send_observer());
+        }
         let sending = self.pools.send(grant.server, &request, &mut body, left);
         let mut response = sending.await.inspect_err(|failure| {
             let lost = [
@@ -322,6 +326,30 @@
     outcome: SlotOutcome,
 }
 
+impl SlotGuard {
+    /// Creates an observer that tells the gate when the request has been sent.
+    fn send_observer(&self) -> Rc<dyn SendObserver> {
+        Rc::new(SlotObserver {
+            gate: self.gate.clone(),
+            ticket: self.ticket,
+        })
+    }
+}
+
+/// Tells the gate when the request of a slot has been sent.
+#[derive(Debug)]
+struct SlotObserver {
+    gate: mpsc::UnboundedSender<GateMessage>,
+    ticket: CallTicket,
+}
+
+impl SendObserver for SlotObserver {
+    fn head_sent(&self) {
+        // The gate task ends only with the node.
+        let _ = self.gate.send(GateMessage::RequestSent(self.ticket));
+    }
+}
+
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let _ = self
--- a/crates/node/src/server_check.rs
+++ b/crates/node/src/server_check.rs
@@ -27,6 +27,7 @@
 use crate::call_dialect::CallDialect;
 use crate::call_forward::CallBody;
 use crate::call_pools::CallPools;
+use crate::gate_task::FoundRun;
 use crate::gate_task::GateMessage;
 use crate::hop::HopRequest;
 
@@ -105,15 +106,17 @@
     gate: mpsc::UnboundedSender<GateMessage>,
 ) {
     while let Some(check) = checks.recv().await {
-        let Some(run) = request_run(&pools, &dialect, &check).await else {
+        let Some(found) = request_run(&pools, &dialect, check).await else {
             continue;
         };
         info!(
-            "event=server-found process=node run={run} address={}",
-            check.address
+            "event=server-found process=node run={} address={} cold_ms={:?}",
+            found.run,
+            found.address,
+            found.cold_remaining.map(|remaining| remaining.as_millis())
         );
         // The gate task ends only with the node.
-        let _ = gate.send(GateMessage::RunFound(run, check.server, check.address));
+        let _ = gate.send(GateMessage::RunFound(found));
     }
 }
 
@@ -122,8 +125,8 @@
 async fn request_run(
     pools: &CallPools,
     dialect: &CallDialect,
-    check: &ServerCheck,
-) -> Option<Arc<str>> {
+    check: ServerCheck,
+) -> Option<FoundRun> {
     let mut headers = HeaderMap::new();
     let host = HeaderValue::from_str(&check.address.to_string()).ok()?;
     headers.insert(HOST, host);
@@ -132,6 +135,7 @@
         target: check.health_page.clone(),
         headers,
         request_id_header: dialect.request_id.clone(),
+        observer: None,
     };
     let mut body = CallBody::Buffered(Bytes::new());
     let sending = pools.send(check.address, &request, &mut body, CHECK_TIMEOUT);
@@ -139,8 +143,23 @@
     if response.head.status != StatusCode::OK {
         return None;
     }
-    let run = response.head.headers().get(&dialect.health_page_run)?;
+    let headers = response.head.headers();
+    let run = headers.get(&dialect.health_page_run)?;
     let run = Arc::from(run.to_str().ok()?);
+    let cold_remaining = cold_remaining(headers, dialect);
     response.body.buffer(PAGE_BYTES_MAX).await.ok()?;
-    Some(run)
+    Some(FoundRun {
+        run,
+        server: check.server,
+        address: check.address,
+        cold_remaining,
+    })
+}
+
+/// Remaining cold time in the headers of a health page; `None` if there is none
+/// or it cannot be read.
+fn cold_remaining(headers: &HeaderMap, dialect: &CallDialect) -> Option<Duration> {
+    let millis = headers.get(&dialect.health_page_cold_ms)?.to_str().ok()?;
+    let millis: f64 = millis.trim().parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1_000.0).ok()
 }
--- a/crates/node/tests/hop.rs
+++ b/crates/node/tests/hop.rs
@@ -106,6 +106,7 @@
         target: Uri::from_static("/sheets"),
         headers,
         request_id_header,
+        observer: None,
     }
 }
 
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -74,13 +74,14 @@
         slots: 1,
     };
     let bounds = QueueBounds {
+        cold: None,
         slots_floor: 25,
         calls: queue_calls,
         wait: Duration::from_secs(60),
     };
     let bounds = GateBounds::from([("records".into(), bounds)]);
     let (reply, _) = oneshot::channel();
-    let announce = GateMessage::Announce(announced, server, reply);
+    let announce = GateMessage::Announce(announced, server, None, reply);
     gate.send(announce).unwrap();
     gate.send(GateMessage::Configure(bounds)).unwrap();
     let proxy = PeerProxy {
--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -96,6 +96,7 @@
     /// accepts it.
     pub async fn announce(&self, node: SocketAddr, address: SocketAddr) {
         let body = AnnounceBody {
+            cold_ms: None,
             service: SERVICE.into(),
             version: VERSION.into(),
             address,
