--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -11,12 +11,14 @@
 mod change_request;
 mod default;
 mod endpoints;
+mod evacuate;
 mod exception;
 mod explain;
 mod member;
 mod moves;
 mod show;
 mod status;
+mod timestamp;
 
 /// A subcommand with its arguments.
 #[derive(Clone, Debug)]
@@ -28,6 +30,7 @@
     Member(member::MemberArgs),
     Move(moves::MoveArgs),
     Endpoints(endpoints::EndpointsArgs),
+    Evacuate(evacuate::EvacuateArgs),
     Status(status::StatusArgs),
     Explain(explain::ExplainArgs),
 }
@@ -58,10 +61,12 @@
     let member = member::member_args().map(OperatorCommand::Member);
     let moves = moves::move_args().map(OperatorCommand::Move);
     let endpoints = endpoints::endpoints_args().map(OperatorCommand::Endpoints);
+    let evacuate = evacuate::evacuate_args().map(OperatorCommand::Evacuate);
     let status = status::status_args().map(OperatorCommand::Status);
     let explain = explain::explain_args().map(OperatorCommand::Explain);
     construct!([
-        apply, show, default, exception, member, moves, endpoints, status, explain
+        apply, show, default, exception, member, moves, endpoints, evacuate, status,
+        explain
     ])
 }
 
@@ -77,6 +82,7 @@
             OperatorCommand::Member(args) => member::run(config, args).await,
             OperatorCommand::Move(args) => moves::run(config, args).await,
             OperatorCommand::Endpoints(args) => endpoints::run(config, args).await,
+            OperatorCommand::Evacuate(args) => evacuate::run(config, args).await,
             OperatorCommand::Status(args) => status::run(config, args).await,
             OperatorCommand::Explain(args) => explain::run(config, args).await,
         }
--- a/crates/cli/src/cmd/moves/due_time.rs
+++ b/crates/cli/src/cmd/moves/due_time.rs
@@ -2,7 +2,6 @@
 
 use std::str::FromStr;
 use std::time::Duration;
-use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use thiserror::Error;
@@ -32,12 +31,6 @@
     }
 }
 
-/// Formats milliseconds since 1970 as an RFC 3339 time in UTC, to the second.
-pub fn format_timestamp(at_ms: u64) -> String {
-    let time: SystemTime = UNIX_EPOCH + Duration::from_millis(at_ms);
-    humantime::format_rfc3339_seconds(time).to_string()
-}
-
 /// Formats a duration in milliseconds such as `1m 30s`, to the second.
 pub fn format_duration(millis: u64) -> String {
     humantime::format_duration(Duration::from_secs(millis / 1_000)).to_string()
--- a/crates/cli/src/cmd/moves/move_entry.rs
+++ b/crates/cli/src/cmd/moves/move_entry.rs
@@ -13,7 +13,7 @@
 use cowslip_wire::messages::MovesCall;
 
 use super::due_time::format_duration;
-use super::due_time::format_timestamp;
+use crate::cmd::timestamp::format_timestamp;
 use crate::operator_config::OperatorConfig;
 use crate::operator_error::OperatorError;
 use crate::operator_error::OperatorResult;
--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -150,6 +150,7 @@
         let settings = ControlSettings {
             joining: None,
             node_live: None,
+            failure_domains: Vec::new(),
             data_folder: folder.join(&*instance),
             instance,
             failure_domain: plan.failure_domain(at),
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -27,6 +27,7 @@
 use crate::agreement_task::AgreementMessage;
 use crate::control_handler::ControlHandler;
 use crate::control_settings::ControlSettings;
+use crate::evacuation_api::EvacuationApi;
 use crate::fanout_task;
 use crate::fanout_task::FanoutMessage;
 use crate::operator_api::OperatorApi;
@@ -140,17 +141,22 @@
         );
         actix_rt::spawn(roster_task::run(agreement.clone(), fanout.clone()));
         actix_rt::spawn(pin_task::run(agreement.clone(), fanout.clone()));
-        let api = OperatorApi::new(RolloutApi {
+        let rollout_api = RolloutApi {
             agreement: agreement.clone(),
             fanout: fanout.clone(),
-            rollouts: rollouts.clone(),
-        });
+            rollouts,
+        };
+        let evacuation_api = EvacuationApi {
+            agreement: agreement.clone(),
+            fanout: fanout.clone(),
+            failure_domains: settings.failure_domains.clone(),
+        };
+        let api = OperatorApi::new(rollout_api.clone(), evacuation_api.clone());
         let handler = ControlHandler::new(
             settings.operator_key.clone(),
             settings.system_key.clone(),
-            agreement,
-            fanout,
-            rollouts,
+            rollout_api,
+            evacuation_api,
         );
         let handler = middleware(api, Rc::new(handler));
         let main = HttpListener::spawn(sockets.main, CONNECTIONS_MAX, handler)?;
--- a/crates/control/src/control_handler.rs
+++ b/crates/control/src/control_handler.rs
@@ -38,9 +38,9 @@
 
 use crate::agreement_task::AgreementHandle;
 use crate::agreement_task::AgreementMessage;
+use crate::evacuation_api::EvacuationApi;
 use crate::fanout_task::FanoutMessage;
 use crate::rollout_api::RolloutApi;
-use crate::rollout_task::RolloutHandle;
 use crate::rollout_task::RolloutMessage;
 
 /// Serves requests of operators, nodes and other control instances.
@@ -54,28 +54,24 @@
     agreement: AgreementHandle,
     fanout: mpsc::Sender<FanoutMessage>,
     rollout_api: RolloutApi,
+    evacuation_api: EvacuationApi,
 }
 
 impl ControlHandler {
-    /// Creates a handler that passes requests to the given tasks.
+    /// Creates a handler that passes requests to the tasks of the two APIs.
     pub fn new(
         operator_key: AccessKey,
         system_key: AccessKey,
-        agreement: AgreementHandle,
-        fanout: mpsc::Sender<FanoutMessage>,
-        rollouts: RolloutHandle,
+        rollout_api: RolloutApi,
+        evacuation_api: EvacuationApi,
     ) -> Self {
-        let rollout_api = RolloutApi {
-            agreement: agreement.clone(),
-            fanout: fanout.clone(),
-            rollouts,
-        };
         let dispatcher = RequestDispatcher {
             operator_key,
             system_key,
-            agreement,
-            fanout,
+            agreement: rollout_api.agreement.clone(),
+            fanout: rollout_api.fanout.clone(),
             rollout_api,
+            evacuation_api,
         };
         Self {
             dispatcher: Rc::new(dispatcher),
@@ -190,6 +186,9 @@
         if let Err(refused) = self.rollout_api.prepare_change(&mut entry).await {
             return Ok(LeaderAnswer::Answered(refused));
         }
+        if let Err(refused) = self.evacuation_api.prepare_change(&mut entry).await {
+            return Ok(LeaderAnswer::Answered(refused));
+        }
         self.ask_agreement(|reply| AgreementMessage::Change(Box::new(entry), reply))
             .await
     }
--- a/crates/control/src/control_settings.rs
+++ b/crates/control/src/control_settings.rs
@@ -35,6 +35,9 @@
     pub members: Vec<MemberAddress>,
     /// Set if the fleet manages its voters by itself.
     pub joining: Option<JoinSettings>,
+    /// All failure domains of the fleet, so that an order about another one is
+    /// refused. If empty, those of the live nodes and backend servers count.
+    pub failure_domains: Vec<Arc<str>>,
     /// How long a node counts as live after it was last heard from. Set if
     /// nodes ask more often than every four seconds, to six times their wait.
     pub node_live: Option<Duration>,
@@ -77,6 +80,8 @@
         let data_folder = reader.required("data_folder", "a folder for the change log");
         let mut members: Vec<MemberAddress> =
             reader.groups("members", "an instance and its address");
+        let failure_domains: Vec<String> =
+            reader.scalars("failure_domains", "the name of a failure domain");
         let node_live = reader.optional("node_live", "a time such as 10s");
         let joining = joining(reader, &mut members);
         let operator_key = reader.required("operator_key", KEY);
@@ -98,6 +103,7 @@
             data_folder: data_folder?,
             members,
             joining,
+            failure_domains: failure_domains.into_iter().map(Arc::from).collect(),
             node_live: node_live.map(|SettingsDuration(live)| live),
             operator_key: operator_key?,
             system_key: system_key?,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control_daemon;
 pub mod control_handler;
 pub mod control_settings;
+pub mod evacuation_api;
 pub mod fanout_task;
 pub mod folder_opener;
 pub mod leader_view;
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -1,5 +1,5 @@
 //! Operations of an operator interface: numbered revisions of the whole
-//! document, and moves of backend server versions.
+//! document, moves of backend server versions, and evacuations.
 //!
 //! Only the leader decides. Every request may be repeated: a revision that was
 //! accepted is answered as accepted, however many revisions followed, and a
@@ -13,6 +13,7 @@
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
+use cowslip_core::change::EvacuationChange;
 use cowslip_core::change::NumberedRevision;
 use cowslip_core::config_delta::ConfigDelta;
 use cowslip_core::config_digest::ConfigDigest;
@@ -33,6 +34,7 @@
 
 use crate::agreement_task::AgreementMessage;
 use crate::agreement_task::CurrentRevision;
+use crate::evacuation_api::EvacuationApi;
 use crate::rollout_api::RolloutApi;
 
 /// How long after the start of an ended move a repeated request counts as a
@@ -87,12 +89,16 @@
 /// Handles operators' requests at one control instance.
 pub struct OperatorApi {
     rollout_api: RolloutApi,
+    evacuation_api: EvacuationApi,
 }
 
 impl OperatorApi {
-    /// Creates an API over the same tasks as `rollout_api`.
-    pub fn new(rollout_api: RolloutApi) -> Self {
-        Self { rollout_api }
+    /// Creates an API over the same tasks as the two APIs.
+    pub fn new(rollout_api: RolloutApi, evacuation_api: EvacuationApi) -> Self {
+        Self {
+            rollout_api,
+            evacuation_api,
+        }
     }
 
     /// Returns the configuration in force if this instance leads.
@@ -121,10 +127,10 @@
         request_id: &Arc<str>,
         builds_on: u64,
     ) -> LeaderAnswer<Option<RequestOutcome>> {
-        let current = match self.current_with_answer(Arc::clone(request_id)).await {
-            LeaderAnswer::Answered(current) => current,
-            LeaderAnswer::NotLeader(leader) => return LeaderAnswer::NotLeader(leader),
-            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        let current = self.current_with_answer(Arc::clone(request_id)).await;
+        let current = match current.answered() {
+            Ok(current) => current,
+            Err(other) => return other,
         };
         LeaderAnswer::Answered(early_outcome(&current, builds_on))
     }
@@ -132,10 +138,9 @@
     /// Puts a revision in force, or returns why it was refused.
     pub async fn revise(&self, request: RevisionRequest) -> LeaderAnswer<RequestOutcome> {
         let id = Arc::clone(&request.request_id);
-        let current = match self.current_with_answer(id).await {
-            LeaderAnswer::Answered(current) => current,
-            LeaderAnswer::NotLeader(leader) => return LeaderAnswer::NotLeader(leader),
-            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        let current = match self.current_with_answer(id).await.answered() {
+            Ok(current) => current,
+            Err(other) => return other,
         };
         if let Some(outcome) = early_outcome(&current, request.builds_on) {
             return LeaderAnswer::Answered(outcome);
@@ -164,31 +169,26 @@
         let answer = self
             .ask(|reply| AgreementMessage::Change(Box::new(entry), reply))
             .await;
-        match answer {
-            LeaderAnswer::Answered(outcome) => {
-                LeaderAnswer::Answered(request_outcome(outcome))
-            }
-            LeaderAnswer::NotLeader(leader) => LeaderAnswer::NotLeader(leader),
-            LeaderAnswer::Unknown => LeaderAnswer::Unknown,
+        match answer.answered() {
+            Ok(outcome) => LeaderAnswer::Answered(request_outcome(outcome)),
+            Err(other) => other,
         }
     }
 
     /// Starts a move. Servers of the new version may announce themselves later.
     pub async fn start_move(&self, request: MoveRequest) -> LeaderAnswer<RequestOutcome> {
-        let current = match self.current().await {
-            LeaderAnswer::Answered(current) => current,
-            LeaderAnswer::NotLeader(leader) => return LeaderAnswer::NotLeader(leader),
-            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        let current = match self.current().await.answered() {
+            Ok(current) => current,
+            Err(other) => return other,
         };
         let spec = current.snapshot.document.services.get(&request.service);
         if spec.is_some_and(|spec| spec.takes_any_version()) {
             // The version that would be replaced is not known yet.
             return LeaderAnswer::Unknown;
         }
-        let records = match self.ask(AgreementMessage::Rollouts).await {
-            LeaderAnswer::Answered(records) => records,
-            LeaderAnswer::NotLeader(leader) => return LeaderAnswer::NotLeader(leader),
-            LeaderAnswer::Unknown => return LeaderAnswer::Unknown,
+        let records = match self.ask(AgreementMessage::Rollouts).await.answered() {
+            Ok(records) => records,
+            Err(other) => return other,
         };
         let same = |record: &&RolloutRecord| {
             record.service == request.service && record.to == request.target
@@ -209,6 +209,53 @@
         self.propose(id.into(), ConfigChange::Move(change)).await
     }
 
+    /// Carries out an order about an evacuation. An order that is in force already
+    /// is accepted.
+    pub async fn evacuate(
+        &self,
+        change: EvacuationChange,
+    ) -> LeaderAnswer<RequestOutcome> {
+        let current = match self.current().await.answered() {
+            Ok(current) => current,
+            Err(other) => return other,
+        };
+        // An evacuated domain exists, even if the settings no longer name it.
+        let document = &current.snapshot.document;
+        if !document.is_evacuated(change.failure_domain()) {
+            if let Err(fault) = self.evacuation_api.check(&change).await {
+                return LeaderAnswer::Answered(RequestOutcome::Invalid(vec![fault]));
+            }
+        }
+        if is_in_force(&current, &change) {
+            return LeaderAnswer::Answered(RequestOutcome::Accepted);
+        }
+        // The version tells a resend from the same order after a later one.
+        let version = current.snapshot.version;
+        let id = match &change {
+            EvacuationChange::Start { failure_domain, .. } => {
+                format!("evacuate-{failure_domain}-{version}")
+            }
+            EvacuationChange::End { failure_domain } => {
+                format!("end-evacuation-{failure_domain}-{version}")
+            }
+        };
+        let proposed = ConfigChange::Evacuate(change.clone());
+        let outcome = self.propose(id.into(), proposed).await;
+        let refused =
+            matches!(outcome, LeaderAnswer::Answered(RequestOutcome::Invalid(_)));
+        if !refused {
+            return outcome;
+        }
+        // A resend at another version may have been carried out meanwhile.
+        match self.current().await.answered() {
+            Ok(current) if is_in_force(&current, &change) => {
+                LeaderAnswer::Answered(RequestOutcome::Accepted)
+            }
+            Ok(_) => outcome,
+            Err(other) => other,
+        }
+    }
+
     /// Returns the status of a service's latest move; `None` if it had none.
     pub async fn last_move(&self, service: Arc<str>) -> LeaderAnswer<Option<MoveStatus>> {
         let call = RolloutsCall {
@@ -242,6 +289,16 @@
     }
 }
 
+/// True if the configuration is already as the order asks.
+fn is_in_force(current: &CurrentRevision, change: &EvacuationChange) -> bool {
+    let document = &current.snapshot.document;
+    let evacuated = document.is_evacuated(change.failure_domain());
+    match change {
+        EvacuationChange::Start { .. } => evacuated,
+        EvacuationChange::End { .. } => !evacuated,
+    }
+}
+
 /// Returns the outcome of a request if it is known without its document.
 fn early_outcome(current: &CurrentRevision, builds_on: u64) -> Option<RequestOutcome> {
     if let Some(ChangeOutcome::Accepted { .. }) = current.answer {
--- a/crates/control/src/rollout_api.rs
+++ b/crates/control/src/rollout_api.rs
@@ -28,6 +28,7 @@
 use crate::rollout_task::RolloutMessage;
 
 /// Handles operators' requests about moves.
+#[derive(Clone)]
 pub struct RolloutApi {
     /// The agreement task.
     pub agreement: AgreementHandle,
--- a/crates/control/src/rollout_task.rs
+++ b/crates/control/src/rollout_task.rs
@@ -18,6 +18,7 @@
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
 use cowslip_core::directory::EndpointRecord;
+use cowslip_core::document::FleetDocument;
 use cowslip_core::move_tracker::NodeReport;
 use cowslip_core::rollout::evidence::EvidenceReport;
 use cowslip_core::rollout::evidence_totals::EvidenceTotals;
@@ -229,9 +230,14 @@
         if records.is_empty() {
             return;
         }
-        let Some((servers, nodes)) = self.fleet_state().await else {
+        let Some((mut servers, nodes)) = self.fleet_state().await else {
             return;
         };
+        let Some(document) = self.document().await else {
+            return;
+        };
+        // Servers that get no calls must not make a move look ready to go on.
+        servers.retain(|server| !document.is_evacuated(&server.failure_domain));
         let now = wall_clock::since_epoch();
         self.monitor.record_servers(now, servers.iter());
         for record in &records {
@@ -264,6 +270,16 @@
         Some(records)
     }
 
+    async fn document(&self) -> Option<Arc<FleetDocument>> {
+        let (reply, answer) = oneshot::channel();
+        let message = AgreementMessage::Current("".into(), reply);
+        self.agreement.task.send(message).await.ok()?;
+        match answer.await.ok()? {
+            LeaderAnswer::Answered(current) => Some(current.snapshot.document),
+            LeaderAnswer::NotLeader(_) | LeaderAnswer::Unknown => None,
+        }
+    }
+
     async fn fleet_state(&self) -> Option<(Vec<EndpointRecord>, Vec<NodeReport>)> {
         let (reply, servers) = oneshot::channel();
         let message = FanoutMessage::Endpoints(reply);
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -48,6 +48,48 @@
     SetHolders(HolderRoster),
     /// Start, step or end the move of a service to a new version.
     Move(MoveChange),
+    /// Evacuate a failure domain, or end its evacuation.
+    Evacuate(EvacuationChange),
+}
+
+/// An operator's order about the backend servers of a failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationChange {
+    /// Send no more calls to the servers of a domain that is not evacuated yet.
+    Start {
+        /// The failure domain.
+        failure_domain: Arc<str>,
+        /// Who gives the order.
+        operator: Arc<str>,
+        /// Reason for the order.
+        reason: Arc<str>,
+    },
+    /// Send calls to the servers of an evacuated domain again.
+    End {
+        /// The failure domain.
+        failure_domain: Arc<str>,
+    },
+}
+
+impl EvacuationChange {
+    /// The failure domain that the order is about.
+    pub fn failure_domain(&self) -> &Arc<str> {
+        match self {
+            Self::Start { failure_domain, .. } | Self::End { failure_domain } => {
+                failure_domain
+            }
+        }
+    }
+
+    /// A short description for the list of changes shown to operators.
+    pub fn summary(&self) -> String {
+        match self {
+            Self::Start { failure_domain, .. } => format!("{failure_domain} evacuated"),
+            Self::End { failure_domain } => {
+                format!("evacuation of {failure_domain} ended")
+            }
+        }
+    }
 }
 
 impl ConfigChange {
@@ -75,6 +117,7 @@
                 roster.seats.len()
             ),
             Self::Move(change) => change.summary(),
+            Self::Evacuate(change) => change.summary(),
         }
     }
 }
--- a/crates/core/src/config_delta.rs
+++ b/crates/core/src/config_delta.rs
@@ -16,6 +16,7 @@
 use crate::config_digest::ConfigDigest;
 use crate::control_state::ConfigSnapshot;
 use crate::document::CallerLimits;
+use crate::document::EvacuationTable;
 use crate::document::ExceptionEntry;
 use crate::document::FleetDocument;
 use crate::document::LabelTable;
@@ -57,6 +58,8 @@
     limits: Option<CallerLimits>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     labels: Option<LabelTable>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    evacuations: Option<EvacuationTable>,
 }
 
 /// The reason why a delta cannot be applied; the follower then requests a whole
@@ -105,6 +108,8 @@
             exceptions: ListEdit::between(&old.exceptions, &new.exceptions),
             limits: (old.limits != new.limits).then(|| new.limits.clone()),
             labels: (old.labels != new.labels).then(|| new.labels.clone()),
+            evacuations: (old.evacuations != new.evacuations)
+                .then(|| new.evacuations.clone()),
         };
         delta.diff_services(old, new);
         delta.diff_defaults(old, new);
@@ -194,6 +199,11 @@
             limits: self.limits.as_ref().unwrap_or(&old.limits).clone(),
             labels: self.labels.as_ref().unwrap_or(&old.labels).clone(),
             holders: old.holders.clone(),
+            evacuations: self
+                .evacuations
+                .as_ref()
+                .unwrap_or(&old.evacuations)
+                .clone(),
         };
         for name in &self.services_removed {
             document.services.remove(name);
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -15,9 +15,11 @@
 use crate::change::ChangeEntry;
 use crate::change::ChangeOutcome;
 use crate::change::ConfigChange;
+use crate::change::EvacuationChange;
 use crate::change::NumberedRevision;
 use crate::document::validate_edit;
 use crate::document::DocumentFault;
+use crate::document::EvacuationEntry;
 use crate::document::FleetDocument;
 use crate::rollout::rollout_registry::RolloutRegistry;
 use crate::version::ConfigVersion;
@@ -157,6 +159,9 @@
                 .rollouts
                 .apply_change(version, entry.at_ms, document, change);
         }
+        if let ConfigChange::Evacuate(change) = &entry.change {
+            return edit_evacuations(document, change, version, entry.at_ms);
+        }
         if let ConfigChange::Revise(revision) = &entry.change {
             check_revision_number(revision, self.revision)?;
         }
@@ -220,6 +225,7 @@
     let mut edited = written.clone();
     keep_service_versions(current, &mut edited);
     edited.holders = current.holders.clone();
+    edited.evacuations = current.evacuations.clone();
     edited
 }
 
@@ -251,6 +257,51 @@
     Ok(())
 }
 
+/// Returns the document after an order about an evacuation that is in the log at
+/// `version`, or why it is refused.
+fn edit_evacuations(
+    document: &FleetDocument,
+    change: &EvacuationChange,
+    version: ConfigVersion,
+    at_ms: u64,
+) -> Result<FleetDocument, Vec<DocumentFault>> {
+    let fault = |failure_domain: &Arc<str>, problem: &str| {
+        let path = format!("evacuations.{failure_domain}");
+        let problem = problem.to_owned();
+        Err(vec![DocumentFault { path, problem }])
+    };
+    let mut edited = document.clone();
+    match change {
+        EvacuationChange::Start {
+            failure_domain,
+            operator,
+            reason,
+        } => {
+            if document.is_evacuated(failure_domain) {
+                return fault(failure_domain, "it is evacuated already");
+            }
+            let entry = EvacuationEntry {
+                version,
+                since_ms: at_ms,
+                operator: Arc::clone(operator),
+                reason: Arc::clone(reason),
+            };
+            edited.evacuations.insert(Arc::clone(failure_domain), entry);
+        }
+        EvacuationChange::End { failure_domain } => {
+            if edited.evacuations.remove(failure_domain).is_none() {
+                return fault(failure_domain, "it is not evacuated");
+            }
+        }
+    }
+    let faults = validate_edit(document, &edited);
+    if faults.is_empty() {
+        Ok(edited)
+    } else {
+        Err(faults)
+    }
+}
+
 /// Returns the document after `change`, or all faults if the result is not a
 /// valid document.
 pub fn edit_document(
@@ -265,6 +316,8 @@
             // entry nodes would at once choose other holders, and a call
             // whose key is claimed at the old ones could run again.
             edited.holders = document.holders.clone();
+            // A file that was written before an evacuation must not end it.
+            edited.evacuations = document.evacuations.clone();
         }
         ConfigChange::Revise(revision) => {
             edited = revision.delta.edit(document);
@@ -276,8 +329,9 @@
         ConfigChange::SetHolders(roster) => edited.holders = roster.clone(),
         ConfigChange::SetDefault { key, value } => edited.defaults.set(*key, *value),
         ConfigChange::AddException(entry) => edited.exceptions.push(entry.clone()),
-        // Changes of a move are applied by the registry of moves instead.
-        ConfigChange::Move(_) => {}
+        // Changes of a move are applied by the registry of moves instead, and
+        // evacuations by `edit_evacuations`.
+        ConfigChange::Move(_) | ConfigChange::Evacuate(_) => {}
         ConfigChange::RemoveException { id } => {
             let exceptions_before = edited.exceptions.len();
             edited.exceptions.retain(|entry| entry.id != *id);
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -46,9 +46,18 @@
     /// not by operators.
     #[serde(default, skip_serializing_if = "HolderRoster::is_empty")]
     pub holders: HolderRoster,
+    /// Failure domains whose backend servers get no calls; changed only by orders
+    /// of their own, not with the rest of the document.
+    #[serde(default, skip_serializing_if = "EvacuationTable::is_empty")]
+    pub evacuations: EvacuationTable,
 }
 
 impl FleetDocument {
+    /// True if the backend servers of `failure_domain` get no calls.
+    pub fn is_evacuated(&self, failure_domain: &str) -> bool {
+        self.evacuations.contains_key(failure_domain)
+    }
+
     fn has_labels(&self) -> bool {
         !self.labels.is_empty()
             || self.services.values().any(|spec| !spec.labels.is_empty())
@@ -56,6 +65,24 @@
     }
 }
 
+/// Evacuations by failure domain.
+pub type EvacuationTable = BTreeMap<Arc<str>, EvacuationEntry>;
+
+/// An order that the backend servers of a failure domain get no calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EvacuationEntry {
+    /// Configuration version that the order created.
+    pub version: ConfigVersion,
+    /// Time of the order by the leader's wall clock, in milliseconds since the
+    /// Unix epoch.
+    pub since_ms: u64,
+    /// Who gave the order.
+    pub operator: Arc<str>,
+    /// Reason for the order; never blank.
+    pub reason: Arc<str>,
+}
+
 /// Labels by name, such as the display name of a route.
 pub type LabelTable = BTreeMap<Arc<str>, Arc<str>>;
 
--- a/crates/core/src/document/validate.rs
+++ b/crates/core/src/document/validate.rs
@@ -59,6 +59,7 @@
     check_routes(document, &mut faults);
     check_defaults(document, &mut faults);
     check_exceptions(document, &mut faults);
+    check_evacuations(document, &mut faults);
     faults.0
 }
 
@@ -82,6 +83,7 @@
     let mut faults = FaultList::default();
     check_services(edited, &mut faults);
     check_defaults(edited, &mut faults);
+    check_evacuations(edited, &mut faults);
     for at in changed {
         check_route(edited, at, &mut faults);
         let route = &edited.routes[at];
@@ -285,6 +287,21 @@
     }
 }
 
+fn check_evacuations(document: &FleetDocument, faults: &mut FaultList) {
+    for (domain, entry) in &document.evacuations {
+        let path = format!("evacuations.{domain}");
+        faults.check_name(path.clone(), domain);
+        if entry.reason.trim().is_empty() {
+            let problem = "an evacuation needs a written reason";
+            faults.push(format!("{path}.reason"), problem);
+        }
+        if entry.operator.trim().is_empty() {
+            let problem = "an evacuation needs the name of its operator";
+            faults.push(format!("{path}.operator"), problem);
+        }
+    }
+}
+
 fn check_scope(
     document: &FleetDocument,
     entry: &ExceptionEntry,
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -225,6 +225,11 @@
         Some(ColdRule::of(cold_start, percent, burst))
     }
 
+    /// True if the backend servers of this node's failure domain get no calls.
+    pub fn is_evacuated(&self) -> bool {
+        self.snapshot.document.is_evacuated(&self.failure_domain)
+    }
+
     /// Names of the services in the configuration in use.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.snapshot.document.services.keys()
@@ -389,6 +394,7 @@
         // while the servers of the old version are full: a call is offered to
         // several servers, and drawing the version for each offer would add to
         // the candidate's share.
+        let evacuations = &self.snapshot.document.evacuations;
         let drawn = plan.version.take();
         let mut version = drawn.unwrap_or_else(|| draw_version(spec, &mut self.rng));
         if !self.guard.admits(&plan.service, &version) {
@@ -396,6 +402,7 @@
         }
         plan.version = Some(Arc::clone(&version));
         let mut chosen = None;
+        let mut all_evacuated = false;
         for version in [&version, &spec.version] {
             let pool = if spec.takes_any_version() {
                 self.servers.largest_pool(&plan.service)
@@ -405,24 +412,30 @@
             let Some(pool) = pool else {
                 continue;
             };
+            all_evacuated = pool.is_evacuated(evacuations);
             let share = spec.candidate.as_ref().and_then(|candidate| {
                 let is_candidate = candidate.version == *version;
                 is_candidate.then_some(candidate.share_per_mille)
             });
-            let allowed = share.map(|share| pool.subset_for_share(share));
+            let allowed = share.map(|share| pool.subset_for_share(share, evacuations));
             for search in &searches {
                 let criteria = ServerCriteria {
                     tried: &plan.tried_servers,
                     idempotent: plan.idempotent,
                     search: *search,
                     allowed: allowed.as_deref(),
+                    evacuations,
                 };
                 chosen = chosen.or_else(|| pool.choose(now, &criteria, &mut self.rng));
             }
         }
         // If every server has been tried, the last failure is more specific
         // than `NoEndpoint`.
-        let refusal = plan.last_failure.unwrap_or(RefusalReason::NoEndpoint);
+        let refusal = match plan.last_failure {
+            Some(reason) => reason,
+            None if all_evacuated => RefusalReason::Evacuated,
+            None => RefusalReason::NoEndpoint,
+        };
         let chosen = chosen.ok_or(refusal)?;
         if chosen.wait_max.is_none() {
             plan.tried_servers.push(Arc::clone(&chosen.instance));
@@ -553,6 +566,7 @@
         | RefusalReason::QueueTimeout
         | RefusalReason::ServerRefused => ServerOutcome::Full,
         RefusalReason::Draining
+        | RefusalReason::Evacuated
         | RefusalReason::Stopping
         | RefusalReason::NotAnnounced => ServerOutcome::Unavailable,
         RefusalReason::ConnectFailed
--- a/crates/core/src/load/retry_delay.rs
+++ b/crates/core/src/load/retry_delay.rs
@@ -72,6 +72,7 @@
         RefusalReason::NoConfiguration
         | RefusalReason::NoEndpoint
         | RefusalReason::Draining
+        | RefusalReason::Evacuated
         | RefusalReason::NotAnnounced
         | RefusalReason::ConnectFailed
         | RefusalReason::ClaimNoMajority
--- a/crates/core/src/load/server_pool.rs
+++ b/crates/core/src/load/server_pool.rs
@@ -24,6 +24,7 @@
 
 use crate::call_try::ServerTry;
 use crate::directory::EndpointRecord;
+use crate::document::EvacuationTable;
 use crate::load::answer_value::AnswerValue;
 use crate::load::outlier_detector::OutcomeCounts;
 use crate::load::outlier_detector::OutlierDetector;
@@ -72,6 +73,8 @@
     pub search: SlotSearch<'a>,
     /// Instances that the call may go to; `None` allows all.
     pub allowed: Option<&'a [Arc<str>]>,
+    /// Failure domains whose servers get no calls.
+    pub evacuations: &'a EvacuationTable,
 }
 
 /// How a server with a slot is searched for.
@@ -109,9 +112,11 @@
 }
 
 impl ServerCriteria<'_> {
-    fn allows(&self, instance: &Arc<str>) -> bool {
-        self.allowed
-            .is_none_or(|allowed| allowed.contains(instance))
+    fn allows(&self, record: &EndpointRecord) -> bool {
+        let allowed = self
+            .allowed
+            .is_none_or(|allowed| allowed.contains(&record.instance));
+        allowed && !self.evacuations.contains_key(&record.failure_domain)
     }
 }
 
@@ -149,7 +154,7 @@
                 .detector
                 .admits(now, self.load.outstanding(), criteria.idempotent)
             && !criteria.tried.contains(&self.record.instance)
-            && criteria.allows(&self.record.instance)
+            && criteria.allows(&self.record)
     }
 }
 
@@ -209,6 +214,15 @@
         self.positions.is_empty()
     }
 
+    /// True if the pool has servers and all of them are in evacuated failure
+    /// domains.
+    pub fn is_evacuated(&self, evacuations: &EvacuationTable) -> bool {
+        let mut servers = self.sides.iter().flatten();
+        let all =
+            servers.all(|server| evacuations.contains_key(&server.record.failure_domain));
+        all && !self.is_empty()
+    }
+
     /// Number of servers that are ejected or on trial.
     pub fn ejected(&self) -> usize {
         let all = self.sides.iter().flatten();
@@ -241,7 +255,8 @@
     }
 
     /// Returns the first servers by name, as many as `share_per_mille` of the
-    /// traffic of the whole pool needs, at least one.
+    /// traffic of the whole pool needs, at least one. Servers in evacuated failure
+    /// domains are left out.
     ///
     /// Load pattern: a new version that fails only under load is tried with a
     /// small traffic share. Spread over all of its servers, the share loads
@@ -251,8 +266,17 @@
     /// therefore not added for a small excess over what the servers before it
     /// are meant to take: a share of 256 per mille on two of four servers would
     /// load neither fully.
-    pub fn subset_for_share(&self, share_per_mille: u16) -> Vec<Arc<str>> {
-        let mut names: Vec<Arc<str>> = self.positions.keys().cloned().collect();
+    pub fn subset_for_share(
+        &self,
+        share_per_mille: u16,
+        evacuations: &EvacuationTable,
+    ) -> Vec<Arc<str>> {
+        let mut names = Vec::new();
+        for server in self.sides.iter().flatten() {
+            if !evacuations.contains_key(&server.record.failure_domain) {
+                names.push(Arc::clone(&server.record.instance));
+            }
+        }
         names.sort_unstable();
         let wanted = names.len() as f64 * f64::from(share_per_mille) / 1_000.0;
         let count = (wanted - SHARE_EXCESS).ceil().max(1.0);
@@ -436,8 +460,8 @@
     fn last_resort(&self, criteria: &ServerCriteria<'_>) -> Option<PoolPosition> {
         for (side, servers) in self.sides.iter().enumerate() {
             for (index, server) in servers.iter().enumerate() {
-                let instance = &server.record.instance;
-                if !criteria.tried.contains(instance) && criteria.allows(instance) {
+                let record = &server.record;
+                if !criteria.tried.contains(&record.instance) && criteria.allows(record) {
                     return Some(PoolPosition { side, index });
                 }
             }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -63,6 +63,8 @@
         RetryBudget => "retry-budget",
         /// The backend server is draining and accepts no new work.
         Draining => "draining",
+        /// The backend server stands in a failure domain that is evacuated.
+        Evacuated => "evacuated",
         /// The backend server answered that it did not run the call.
         ServerRefused => "server-refused",
         /// The backend server has not announced itself to its node.
@@ -107,6 +109,8 @@
         /// The server's node refused because it or its backend server is
         /// draining or stopping.
         Draining => "draining",
+        /// The server's node refused because its failure domain is evacuated.
+        Evacuated => "evacuated",
         /// The server's node has no announced backend server.
         NotAnnounced => "not-announced",
         /// The backend server answered that it did not run the call.
@@ -128,6 +132,7 @@
             Self::NoFreeSlot => Some(RetryReason::NoFreeSlot),
             Self::QueueFull => Some(RetryReason::QueueFull),
             Self::Draining | Self::Stopping => Some(RetryReason::Draining),
+            Self::Evacuated => Some(RetryReason::Evacuated),
             Self::NotAnnounced => Some(RetryReason::NotAnnounced),
             Self::ServerRefused => Some(RetryReason::ServerRefused),
             Self::ConnectFailed => Some(RetryReason::ConnectFailed),
--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -382,6 +382,12 @@
             return Err(None);
         }
         self.check(time, fleet, LAST_SUSPICION_LEVEL, false)?;
+        // The old servers stop after the move. If none of the new ones may get
+        // calls, because their failure domains are evacuated, the service would
+        // be left without any.
+        if fleet.new_slots == 0 {
+            return Err(Some(StepWait::FewSlots));
+        }
         if time.since_step < time.total.mul_f64(LAST_CHECK_FRACTION) {
             return Err(Some(StepWait::LastSteps));
         }
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -145,6 +145,7 @@
 pub struct ServerGate {
     announced: Option<AnnouncedServer>,
     draining: bool,
+    evacuated: bool,
     bounds: QueueBounds,
     limit: ConcurrencyLimit,
     cold: ColdLimit,
@@ -169,6 +170,7 @@
         Self {
             announced: None,
             draining: false,
+            evacuated: false,
             bounds: QueueBounds::default(),
             limit: ConcurrencyLimit::new(0),
             cold: ColdLimit::default(),
@@ -218,9 +220,28 @@
     /// are refused so that their entry nodes can try another server.
     pub fn drain(&mut self) -> Vec<GateAction> {
         self.draining = true;
+        self.refuse_queued(RefusalReason::Draining)
+    }
+
+    /// Sets whether the failure domain of the server is evacuated. Its queued
+    /// calls are refused at the start, so that their entry nodes can try another
+    /// server; calls that run are left to end. At the end the server is assumed
+    /// to be cold, because it may have rested or restarted meanwhile.
+    pub fn set_evacuated(&mut self, now: Duration, evacuated: bool) -> Vec<GateAction> {
+        if self.evacuated && !evacuated {
+            self.cold.assume_cold(now);
+        }
+        self.evacuated = evacuated;
+        if evacuated {
+            return self.refuse_queued(RefusalReason::Evacuated);
+        }
+        Vec::new()
+    }
+
+    fn refuse_queued(&mut self, reason: RefusalReason) -> Vec<GateAction> {
         let mut actions = Vec::new();
         while let Some(ticket) = self.queue.take_any() {
-            actions.push(GateAction::Refuse(ticket, RefusalReason::Draining));
+            actions.push(GateAction::Refuse(ticket, reason));
         }
         actions
     }
@@ -235,6 +256,11 @@
         self.draining
     }
 
+    /// True while the failure domain of the server is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated
+    }
+
     /// Number of requests at the backend server.
     pub fn in_flight(&self) -> u32 {
         self.running.len() as u32
@@ -410,6 +436,9 @@
         if announced.is_none_or(|server| server.service != call.service) {
             return Err(RefusalReason::NotAnnounced);
         }
+        if self.evacuated {
+            return Err(RefusalReason::Evacuated);
+        }
         if self.draining {
             return Err(RefusalReason::Draining);
         }
--- a/crates/core/tests/agreement/failures.rs
+++ b/crates/core/tests/agreement/failures.rs
@@ -13,7 +13,10 @@
 use cowslip_core::agreement::MemberRefusal;
 use cowslip_core::agreement::MemberRole;
 use cowslip_core::agreement::ReplicaEvent;
+use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
+use cowslip_core::change::ConfigChange;
+use cowslip_core::change::EvacuationChange;
 use cowslip_core::version::ConfigVersion;
 
 use crate::fleet::address;
@@ -582,3 +585,43 @@
     let answers = &fleet.member_answers;
     assert!(answers.contains(&ChangeAnswer::Decided(refused)));
 }
+
+// Guards against an acknowledged evacuation that is lost or older than
+// acknowledged: right after it, all instances lose power, two of them with their
+// disks, as many as five voters must bear.
+#[test]
+fn an_evacuation_survives_lost_power_and_two_lost_disks() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::with_voter_target(3, 4, 5, seed);
+        fleet.wait_for_leader();
+        fleet.commit_change(&change_entry("before", None));
+        fleet.run(Duration::from_secs(20));
+        let order = EvacuationChange::Start {
+            failure_domain: "voss".into(),
+            operator: "kari".into(),
+            reason: "power works".into(),
+        };
+        let entry = ChangeEntry {
+            change: ConfigChange::Evacuate(order),
+            ..change_entry("evacuation", None)
+        };
+        let outcome = fleet.commit_change(&entry);
+        assert!(matches!(outcome, ChangeOutcome::Accepted { .. }));
+        let leader = fleet.wait_for_leader();
+        let voters: Vec<usize> = (0..fleet.instances.len())
+            .filter(|at| fleet.is_voter(leader, *at))
+            .collect();
+        for at in 0..fleet.instances.len() {
+            fleet.crash(at);
+        }
+        for at in voters.into_iter().take(2) {
+            fleet.wipe(at);
+        }
+        for at in 0..fleet.instances.len() {
+            fleet.start(at);
+        }
+        let leader = fleet.wait_for_leader();
+        let document = &fleet.state(leader).snapshot().document;
+        assert!(document.is_evacuated("voss"), "seed {seed}");
+    }
+}
--- a/crates/core/tests/config_delta.rs
+++ b/crates/core/tests/config_delta.rs
@@ -14,6 +14,7 @@
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::document::CallPriority;
 use cowslip_core::document::CandidateShare;
+use cowslip_core::document::EvacuationEntry;
 use cowslip_core::document::ExceptionEntry;
 use cowslip_core::document::ExceptionScope;
 use cowslip_core::document::FleetDocument;
@@ -82,7 +83,8 @@
     let exceptions = unique((0..16_u8, 1..1_000_u64));
     let key = prop::sample::select(TuningKey::ALL);
     let defaults = prop::collection::vec((key, 1..10_u64), 0..4);
-    (services, routes, exceptions, defaults).prop_map(|drawn| {
+    let evacuations = prop::collection::btree_map(0..3_u8, 0..3_u64, 0..3);
+    (services, routes, exceptions, defaults, evacuations).prop_map(|drawn| {
         let mut document = FleetDocument::default();
         for (name, spec) in drawn.0 {
             let name: Arc<str> = format!("service-{name}").into();
@@ -101,6 +103,17 @@
             table.set(key, value);
         }
         document.defaults = table;
+        for (domain, since_ms) in drawn.4 {
+            let entry = EvacuationEntry {
+                version: ConfigVersion::new(1, since_ms),
+                since_ms,
+                operator: "kari".into(),
+                reason: "power works".into(),
+            };
+            document
+                .evacuations
+                .insert(format!("domain-{domain}").into(), entry);
+        }
         document
     })
 }
--- a/crates/core/tests/free_slots.rs
+++ b/crates/core/tests/free_slots.rs
@@ -11,6 +11,7 @@
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::document::CallPriority;
+use cowslip_core::document::EvacuationTable;
 use cowslip_core::load::answer_value::AnswerValue;
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::load::server_load::ReportedLoad;
@@ -29,6 +30,8 @@
 const WORK: Duration = Duration::from_millis(100);
 const TARGET: Duration = Duration::from_millis(300);
 
+static NO_EVACUATIONS: EvacuationTable = EvacuationTable::new();
+
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -72,6 +75,7 @@
     };
     ServerCriteria {
         allowed: None,
+        evacuations: &NO_EVACUATIONS,
         tried: &[],
         idempotent: true,
         search: if free {
@@ -299,12 +303,12 @@
     for number in 0..6 {
         pool.put(Duration::ZERO, record(number, number == 3), number == 3);
     }
-    let subset = pool.subset_for_share(160);
+    let subset = pool.subset_for_share(160, &NO_EVACUATIONS);
     assert_eq!(subset.len(), 1);
     // The small excess of 512 over 500 per mille does not add a fourth server.
-    assert_eq!(pool.subset_for_share(512).len(), 3);
+    assert_eq!(pool.subset_for_share(512, &NO_EVACUATIONS).len(), 3);
     for share in 1..=1_000 {
-        let used = pool.subset_for_share(share).len();
+        let used = pool.subset_for_share(share, &NO_EVACUATIONS).len();
         let meant_for = 6.0 * f64::from(share) / 1_000.0;
         assert!(meant_for <= used as f64 + 0.1, "{share}: {used}");
         assert!(
@@ -312,8 +316,8 @@
             "{share}: {used}"
         );
     }
-    assert_eq!(pool.subset_for_share(950).len(), 6);
-    assert_eq!(pool.subset_for_share(1).len(), 1);
+    assert_eq!(pool.subset_for_share(950, &NO_EVACUATIONS).len(), 6);
+    assert_eq!(pool.subset_for_share(1, &NO_EVACUATIONS).len(), 1);
     let mut rng = SmallRng::seed_from_u64(1);
     let mut criteria = search(true, 0.0, &[]);
     criteria.allowed = Some(&subset);
--- a/crates/core/tests/load_servers.rs
+++ b/crates/core/tests/load_servers.rs
@@ -13,6 +13,7 @@
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::document::CallPriority;
+use cowslip_core::document::EvacuationTable;
 use cowslip_core::load::customer_throttle::CustomerThrottle;
 use cowslip_core::load::deadline_budget;
 use cowslip_core::load::fair_tags::FairTags;
@@ -59,9 +60,12 @@
     pool
 }
 
+static NO_EVACUATIONS: EvacuationTable = EvacuationTable::new();
+
 fn criteria(tried: &[Arc<str>]) -> ServerCriteria<'_> {
     ServerCriteria {
         allowed: None,
+        evacuations: &NO_EVACUATIONS,
         search: SlotSearch::ByScore,
         tried,
         idempotent: true,
--- a/crates/core/tests/rollout_driver.rs
+++ b/crates/core/tests/rollout_driver.rs
@@ -279,3 +279,27 @@
         assert!(held >= WHOLE_MS * 65 / 1_000, "{steps:?}");
     }
 }
+
+// Guards against a move that completes, and so stops the old servers, while the
+// failure domains of all new servers are evacuated and they may get no calls. It
+// goes on once they are back.
+#[test]
+fn a_move_does_not_finish_on_servers_that_get_no_calls() {
+    let whole = Duration::from_millis(WHOLE_MS);
+    let evacuated = |from: Duration, until: Duration| {
+        move |now: Duration| FleetSnapshot {
+            new_slots: if now > from && now < until { 0 } else { 30 },
+            ..healthy_fleet()
+        }
+    };
+    // Before the last step, and after it.
+    for from in [whole / 2, whole.mul_f64(0.9)] {
+        let stuck = evacuated(from, 2 * whole);
+        let stuck = drive(record(QuietChoice::Finish), stuck, 200);
+        assert_eq!(stuck.finished_at, None);
+        assert_eq!(stuck.wait, Some(StepWait::FewSlots));
+    }
+    let resumed = evacuated(whole / 2, whole * 3 / 4);
+    let resumed = drive(record(QuietChoice::Finish), resumed, 200);
+    assert!(resumed.finished_at.is_some(), "{:?}", resumed.wait);
+}
--- a/crates/core/tests/rollout_exposure.rs
+++ b/crates/core/tests/rollout_exposure.rs
@@ -11,6 +11,7 @@
 
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
+use cowslip_core::document::EvacuationTable;
 use cowslip_core::load::server_pool::ServerPool;
 use cowslip_core::rollout::evidence::EvidenceReport;
 use cowslip_core::rollout::evidence::RolloutEvidence;
@@ -54,7 +55,7 @@
 
 /// Load of each server in use at a share given in thousandths.
 fn server_load(pool: &ServerPool, share: u16) -> f64 {
-    let used = pool.subset_for_share(share).len();
+    let used = pool.subset_for_share(share, &EvacuationTable::new()).len();
     f64::from(share) / 1_000.0 * SERVERS as f64 / used as f64
 }
 
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -36,6 +36,7 @@
 use cowslip_wire::wall_clock;
 
 use crate::gate_task::GateBounds;
+use crate::gate_task::GateConfig;
 use crate::gate_task::GateMessage;
 use crate::install_hooks::InstallHooks;
 use crate::startup_queue::StartupQueue;
@@ -380,7 +381,8 @@
                     "event=version-applied process=node instance={} failure_domain={} version={version}",
                     self.instance, self.failure_domain
                 );
-                self.hooks.installed(self.router.document());
+                let evacuated = self.router.is_evacuated();
+                self.hooks.installed(self.router.document(), evacuated);
                 self.configure_gate();
             }
             Ok(false) => {}
@@ -437,14 +439,17 @@
         holders
     }
 
-    /// Sends the queue bounds of all services to the gate.
+    /// Sends the parts of the configuration that concern the gate.
     fn configure_gate(&self) {
         let mut bounds = GateBounds::new();
         for service in self.router.services() {
             bounds.insert(Arc::clone(service), self.router.queue_bounds(service));
         }
         // The gate task ends only with the node.
-        let _ = self.gate.send(GateMessage::Configure(bounds));
+        let _ = self.gate.send(GateMessage::Configure(GateConfig {
+            bounds,
+            evacuated: self.router.is_evacuated(),
+        }));
     }
 
     fn report(&self) -> NodeReport {
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -36,6 +36,7 @@
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
+use crate::gate_metrics::GateMetrics;
 use crate::server_probe;
 use crate::server_probe::ProbeResult;
 
@@ -138,8 +139,17 @@
     Reconcile(Box<EndpointRecord>),
     /// The control instance changed and may lack the endpoint's last record.
     Republish,
-    /// New queue bounds, by service.
-    Configure(GateBounds),
+    /// The configuration in force.
+    Configure(GateConfig),
+}
+
+/// The parts of the configuration in force that concern the gate.
+#[derive(Clone, Debug, Default)]
+pub struct GateConfig {
+    /// Queue bounds by service.
+    pub bounds: GateBounds,
+    /// Whether the node's failure domain is evacuated.
+    pub evacuated: bool,
 }
 
 /// Queue bounds by service, from the configuration in force.
@@ -172,6 +182,7 @@
 
 struct GateTask {
     status: GateStatus,
+    metrics: GateMetrics,
     endpoint: GateEndpoint,
     gate: ServerGate,
     presence: ServerPresence,
@@ -195,20 +206,27 @@
     endpoint: GateEndpoint,
     records: mpsc::UnboundedSender<EndpointRecord>,
 ) -> mpsc::UnboundedSender<GateMessage> {
-    spawn_with_status(endpoint, records, GateStatus::default())
+    spawn_with_status(
+        endpoint,
+        records,
+        GateStatus::default(),
+        GateMetrics::default(),
+    )
 }
 
-/// Starts the task and keeps `status` up to date.
+/// Starts the task and keeps `status` and `metrics` up to date.
 pub fn spawn_with_status(
     endpoint: GateEndpoint,
     records: mpsc::UnboundedSender<EndpointRecord>,
     status: GateStatus,
+    metrics: GateMetrics,
 ) -> mpsc::UnboundedSender<GateMessage> {
     // Unbounded: every sender waits for its answer or sends one release for
     // each slot, so the connection limit also limits the queued messages.
     let (sender, receiver) = mpsc::unbounded_channel();
     let task = GateTask {
         status,
+        metrics,
         endpoint,
         gate: ServerGate::default(),
         presence: ServerPresence::default(),
@@ -317,9 +335,10 @@
             }
             GateMessage::OutboundBegin => self.gate.outbound_begin(),
             GateMessage::OutboundEnd => self.gate.outbound_end(),
-            GateMessage::Configure(bounds) => {
-                self.bounds = bounds;
+            GateMessage::Configure(config) => {
+                self.bounds = config.bounds;
                 self.configure();
+                self.set_evacuated(now, config.evacuated);
             }
         }
     }
@@ -411,8 +430,9 @@
         self.cold_start.restart();
         self.status.service_times.borrow_mut().clear();
         if replaced {
-            self.gate.cold_mut().record_crash(now);
+            self.record_crash(now);
         }
+        self.metrics.run_began();
         self.gate.cold_mut().begin_run(now, cold_remaining);
         self.gate.announce(server);
         self.configure();
@@ -435,6 +455,27 @@
         self.publish();
     }
 
+    /// Applies the start or the end of an evacuation of the node's failure domain.
+    fn set_evacuated(&mut self, now: Duration, evacuated: bool) {
+        if self.gate.is_evacuated() == evacuated {
+            return;
+        }
+        let event = if evacuated {
+            "evacuated"
+        } else {
+            "evacuation-ended"
+        };
+        info!(
+            "event={event} process=node instance={} failure_domain={} in_flight={} waiting={}",
+            self.endpoint.instance,
+            self.endpoint.failure_domain,
+            self.gate.in_flight(),
+            self.gate.waiting()
+        );
+        let actions = self.gate.set_evacuated(now, evacuated);
+        self.apply(actions);
+    }
+
     /// Stops granting slots; waiting calls are refused and go to other servers.
     fn withdraw(&mut self, event: &str) {
         info!(
@@ -462,7 +503,7 @@
         }
         if result == ProbeResult::Refused {
             if self.presence.mark_unreachable() {
-                self.gate.cold_mut().record_crash(self.started.elapsed());
+                self.record_crash(self.started.elapsed());
                 self.withdraw("server-lost");
             }
             return;
@@ -483,6 +524,19 @@
         }
     }
 
+    /// Counts the end of a run that gave no notice. A cold server that crashes again
+    /// and again is probably sent more calls than it tolerates.
+    fn record_crash(&mut self, now: Duration) {
+        let cold = self.gate.cold().is_cold(now);
+        self.metrics.crashed(cold);
+        self.gate.cold_mut().record_crash(now);
+        info!(
+            "event=server-crashed process=node instance={} cold={cold} cold_crashes={}",
+            self.endpoint.instance,
+            self.gate.cold().crashes()
+        );
+    }
+
     /// Logs the start and the end of the time in which calls to the server are
     /// limited.
     fn log_cold(&mut self, now: Duration) {
--- a/crates/node/src/install_hooks.rs
+++ b/crates/node/src/install_hooks.rs
@@ -22,9 +22,11 @@
 }
 
 impl InstallHooks {
-    /// Applies a configuration that has come into force.
-    pub(crate) fn installed(&self, document: &FleetDocument) {
-        if !self.configured.replace(true) {
+    /// Applies a configuration that has come into force; `evacuated` if it
+    /// evacuates the node's failure domain. The backend server is then not
+    /// checked, since it gets no requests.
+    pub(crate) fn installed(&self, document: &FleetDocument, evacuated: bool) {
+        if !self.configured.replace(true) && !evacuated {
             self.server.request_check(document);
         }
         let defaults = ListenerTimeouts::default();
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -35,6 +35,7 @@
 use crate::follow_metrics::FollowMetrics;
 use crate::follow_task;
 use crate::follow_task::FollowOptions;
+use crate::gate_metrics::GateMetrics;
 use crate::gate_task;
 use crate::gate_task::GateEndpoint;
 use crate::gate_task::GateMessage;
@@ -202,7 +203,12 @@
         let dialect = Rc::new(middleware.dialect);
         let gate_status = GateStatus::default();
         let (checks, requested_checks) = mpsc::unbounded_channel();
-        let gate = gate_task::spawn_with_status(endpoint, records, gate_status.clone());
+        let gate = gate_task::spawn_with_status(
+            endpoint,
+            records,
+            gate_status.clone(),
+            GateMetrics::new(&mut registry),
+        );
         let server = ConfiguredServer {
             service: settings.service.clone(),
             address: settings.server,
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -21,6 +21,7 @@
 use cowslip_node::call_pools::CallPools;
 use cowslip_node::gate_task;
 use cowslip_node::gate_task::GateBounds;
+use cowslip_node::gate_task::GateConfig;
 use cowslip_node::gate_task::GateEndpoint;
 use cowslip_node::gate_task::GateMessage;
 use cowslip_node::gate_task::GateStatus;
@@ -83,7 +84,11 @@
     let (reply, _) = oneshot::channel();
     let announce = GateMessage::Announce(announced, server, None, reply);
     gate.send(announce).unwrap();
-    gate.send(GateMessage::Configure(bounds)).unwrap();
+    gate.send(GateMessage::Configure(GateConfig {
+        bounds,
+        evacuated: false,
+    }))
+    .unwrap();
     let proxy = PeerProxy {
         pools: CallPools::new(),
         dialect: Rc::default(),
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -60,6 +60,21 @@
     Unknown,
 }
 
+impl<T> LeaderAnswer<T> {
+    /// Returns the leader's answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what to answer instead if there is none.
+    pub fn answered<U>(self) -> Result<T, LeaderAnswer<U>> {
+        match self {
+            Self::Answered(answer) => Ok(answer),
+            Self::NotLeader(leader) => Err(LeaderAnswer::NotLeader(leader)),
+            Self::Unknown => Err(LeaderAnswer::Unknown),
+        }
+    }
+}
+
 /// An operator's configuration change. Resending it is harmless, as the
 /// request ID marks duplicates.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
