Connections between processes are given up after 150 ms and tried again

Cause: processes return within some tenths of a second of each other. Who connects to a machine that is still dark gets no answer, and the kernel sends the lost opening packet again only after a second; the attempt was given up after 500 ms, and the message (a question for votes, a poll for the configuration) was dropped with it.

Change: 150 ms (ten times the slowest link's latency) for every client of our own processes, and messages of the agreement for which no connection could be made are sent again until they are a second old. A configuration at a node needs the leader's proof as before; only lost time is saved.

Ruled out: the voters' turns (36 ms each, one round is enough once all answer); the wait for old leases (all voters were idle).

Test: a_question_reaches_an_instance_that_starts_later (fails without: lost).

--- a/crates/control/src/peer_sender.rs
+++ b/crates/control/src/peer_sender.rs
@@ -18,7 +18,9 @@
 use cowslip_core::agreement::MemberMessage;
 use cowslip_core::agreement::MessageBody;
 use cowslip_wire::agreement_messages::AgreeCall;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::peer_client::PeerClient;
+use cowslip_wire::peer_client::PeerError;
 use cowslip_wire::process_log::LogValue;
 
 /// Capacity of the queue to one instance; a busy leader sends as many messages
@@ -36,6 +38,10 @@
 /// messages are useless.
 const POST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause after a connection could not be made, before the same messages are sent
+/// again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(25);
+
 /// Timeout of a snapshot transfer, for 16 MB over a link of 32 Mbit/s.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -88,13 +94,39 @@
             let call = AgreeCall {
                 messages: std::mem::take(&mut gathered),
             };
-            if let Err(error) = client.send(address, &call, timeout).await {
-                debug!(
-                    "event=agree-failed process=control to={address} error={}",
-                    LogValue(error)
-                );
-            }
+            send_until(&client, address, &call, timeout).await;
         }
     });
     queue
 }
+
+/// Sends messages within `timeout`. If no connection can be made, nothing was
+/// sent, and the same messages are sent again.
+///
+/// Load pattern: all instances lose power and return within some tenths of a
+/// second of each other. The first ones ask for votes before the last ones
+/// listen. If those questions were dropped, there would be no leader until they
+/// are asked again, and no node would have a configuration until then.
+async fn send_until(
+    client: &PeerClient,
+    address: SocketAddr,
+    call: &AgreeCall,
+    timeout: Duration,
+) {
+    let deadline = BootInstant::now() + timeout;
+    loop {
+        let left = deadline.saturating_duration_since(BootInstant::now());
+        let Err(error) = client.send(address, call, left).await else {
+            return;
+        };
+        debug!(
+            "event=agree-failed process=control to={address} error={}",
+            LogValue(&error)
+        );
+        let connected = !matches!(error, PeerError::Connect(_));
+        if connected || left <= RECONNECT_PAUSE {
+            return;
+        }
+        actix_rt::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/control/tests/peer_sender.rs
@@ -0,0 +1,105 @@
+//! Messages between control instances that start at different times.
+
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_http::Request;
+use actix_rt::System;
+
+use cowslip_control::peer_sender::PeerSenders;
+use cowslip_core::agreement::MemberMessage;
+use cowslip_core::agreement::MessageBody;
+use cowslip_core::agreement::ProcessStart;
+use cowslip_core::version::ConfigVersion;
+use cowslip_wire::access_key::AccessKey;
+use cowslip_wire::agreement_messages::AgreeCall;
+use cowslip_wire::http_listener::HttpHandler;
+use cowslip_wire::http_listener::HttpListener;
+use cowslip_wire::http_listener::ReplyFuture;
+use cowslip_wire::message_reply;
+use cowslip_wire::peer_client::PeerClient;
+
+/// Time after the message at which the other instance listens: longer than any
+/// single attempt to connect, and shorter than a message is worth sending.
+const START_DELAY: Duration = Duration::from_millis(400);
+
+/// Timeout of the test; only a lost message reaches it.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Records the messages of an instance.
+#[derive(Default)]
+struct MessageRecorder {
+    received: RefCell<Vec<MemberMessage>>,
+}
+
+struct RecorderHandler(Rc<MessageRecorder>);
+
+impl HttpHandler for RecorderHandler {
+    fn handle(&self, mut request: Request) -> ReplyFuture {
+        let recorder = Rc::clone(&self.0);
+        Box::pin(async move {
+            let key = AccessKey::new("test-system");
+            let read = message_reply::read::<AgreeCall>(&mut request, &key).await;
+            match read {
+                Ok(call) => recorder.received.borrow_mut().extend(call.messages),
+                Err(refused) => return refused,
+            }
+            message_reply::encoded(&())
+        })
+    }
+}
+
+/// Returns a free address on a loopback IP address that only this test process
+/// uses, so that no other test can take the port before it is bound again.
+fn free_address() -> SocketAddr {
+    let pid = std::process::id().to_be_bytes();
+    let address = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], 9));
+    let socket = TcpListener::bind(SocketAddr::new(address, 0)).expect("a free port");
+    socket.local_addr().expect("its address")
+}
+
+fn pre_vote(address: SocketAddr) -> MemberMessage {
+    MemberMessage {
+        from: "control-1".into(),
+        address,
+        folder: 1,
+        start: ProcessStart { count: 1, nonce: 1 },
+        synced: 1,
+        term: 1,
+        to: "control-2".into(),
+        to_folder: None,
+        body: MessageBody::PreVote {
+            last: ConfigVersion::new(1, 1),
+        },
+    }
+}
+
+// Guards against a fleet without a leader for a whole interval between two polls:
+// all instances restart, and the first asks for votes before the last listens.
+#[test]
+fn a_question_reaches_an_instance_that_starts_later() {
+    System::new().block_on(async {
+        let address = free_address();
+        let client = PeerClient::new(AccessKey::new("test-system"));
+        let mut senders = PeerSenders::new(client);
+        senders.send(address, pre_vote(address));
+        actix_rt::time::sleep(START_DELAY).await;
+        let recorder = Rc::new(MessageRecorder::default());
+        let handler = Rc::new(RecorderHandler(Rc::clone(&recorder)));
+        let listener = HttpListener::bind(address, 8, handler);
+        let _listener = listener.expect("the port is still free");
+        let started = Instant::now();
+        while recorder.received.borrow().is_empty() {
+            let waited = started.elapsed();
+            assert!(waited < RECEIVE_TIMEOUT, "the message was lost");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(*recorder.received.borrow(), [pre_vote(address)]);
+    });
+}
--- a/crates/wire/src/peer_client.rs
+++ b/crates/wire/src/peer_client.rs
@@ -20,8 +20,10 @@
 use crate::messages::WireCall;
 
 /// Timeout for connecting; ten times the latency of the slowest link that users
-/// report.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// report. A machine that starts after the attempt never answers it: the kernel
+/// sends the lost opening packet again only after a second, while the next
+/// attempt is answered at once.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Time after which an idle connection is closed; well below the 75 s after
 /// which the server side closes it.
