A cold server that started with its node gets calls at once

What callers saw: after a power loss of all machines every call was refused (`no-free-slot`) until each node was a second old, 0.2 to 0.6 s longer than the node had a configuration.

Cause: a node that has just started takes the limit of its cold server as spent for a second, since an earlier process of it may have sent calls. After a power loss the server is as new as the node, so nobody has.

Change: a first report whose start is not older than the node (by the machine's one wall clock, less 10 ms, the shortest time in which the process can have been replaced) waives that second. Servers that ran before their node are limited as before. In the logs servers start 1 to 2 ms before their node.

Test: a_node_waits_only_for_what_its_predecessor_may_have_sent.

--- a/crates/core/src/load/cold_limit.rs
+++ b/crates/core/src/load/cold_limit.rs
@@ -9,9 +9,9 @@
 //! second through few slots.
 //!
 //! The server's own node applies the limit, since every call to the server
-//! passes it. The node counts calls in a sliding second; see
-//! [`SendWindow`]. A node that has just started does not know what its
-//! predecessor sent and takes the whole limit as spent for one second.
+//! passes it. The node counts calls in a sliding second; see [`SendWindow`]. A
+//! node that has just started does not know what its predecessor sent and takes
+//! the whole limit as spent for one second, unless the server started after it.
 //!
 //! A server that crashed while it was cold gets half as many calls in its next
 //! run, and so on until it becomes warm.
@@ -62,6 +62,8 @@
     crashes: u32,
     /// True from a crash until the next run.
     crashed: bool,
+    /// True if no earlier process of this node has sent the server anything.
+    sends_known: bool,
 }
 
 impl ColdLimit {
@@ -76,6 +78,12 @@
         self.rule.is_some()
     }
 
+    /// Records that the server has started after this node, so that no earlier
+    /// process of the node has sent it anything.
+    pub fn record_later_start(&mut self) {
+        self.sends_known = true;
+    }
+
     /// Assumes that the server has just become cold, whatever was reported.
     pub fn assume_cold(&mut self, now: Duration) {
         self.period.assume(now);
@@ -139,7 +147,11 @@
         let Some(limit) = self.limit(now) else {
             return Duration::ZERO;
         };
-        let unknown = WINDOW.saturating_sub(now);
+        let unknown = if self.sends_known {
+            Duration::ZERO
+        } else {
+            WINDOW.saturating_sub(now)
+        };
         let wait = self.window.wait(now, limit, ahead).max(unknown);
         self.warm_at(now)
             .map_or(wait, |warm_at| wait.min(warm_at - now))
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -303,6 +303,21 @@
     assert!(!cold.is_cold(now + millis(1)));
 }
 
+// Guards against a second without service after all machines lost power: a node
+// that has just started must not take the limit of a server as spent that started
+// after it.
+#[test]
+fn a_node_waits_only_for_what_its_predecessor_may_have_sent() {
+    let now = millis(200);
+    let mut older = ColdLimit::default();
+    older.configure(Some(RULE));
+    older.begin_run(now, Some(COLD_TIME));
+    let mut later = older.clone();
+    later.record_later_start();
+    assert_eq!(older.wait(now, 0), WINDOW - now);
+    assert!(later.admits(now));
+}
+
 // Guards against a server that crashes under what it is allowed while cold and is
 // fed the same amount after each start.
 #[test]
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -40,6 +40,11 @@
 use crate::server_probe;
 use crate::server_probe::ProbeResult;
 
+/// Shortest time in which an earlier process of this node can have been replaced
+/// by this one, in milliseconds. After a power loss node and server start within
+/// a few milliseconds of each other.
+const RESTART_TIME_MIN_MS: u64 = 10;
+
 /// Identity and addresses of the node's own endpoint.
 #[derive(Clone, Debug)]
 pub struct GateEndpoint {
@@ -192,6 +197,8 @@
     bounds: GateBounds,
     waiters: HashMap<CallTicket, oneshot::Sender<SlotAnswer>>,
     started: BootInstant,
+    /// Start of the task by the wall clock, in milliseconds since the Unix epoch.
+    started_ms: u64,
     server: Option<SocketAddr>,
     cold_start: ColdStart,
     /// Whether the log says that the server is cold.
@@ -224,6 +231,7 @@
     // Unbounded: every sender waits for its answer or sends one release for
     // each slot, so the connection limit also limits the queued messages.
     let (sender, receiver) = mpsc::unbounded_channel();
+    let started_ms = wall_clock::millis();
     let task = GateTask {
         status,
         metrics,
@@ -236,10 +244,11 @@
         bounds: GateBounds::new(),
         waiters: HashMap::new(),
         started: BootInstant::now(),
+        started_ms,
         server: None,
         cold_start: ColdStart::default(),
         cold_logged: false,
-        announcer: EndpointAnnouncer::new(wall_clock::millis()),
+        announcer: EndpointAnnouncer::new(started_ms),
         records,
     };
     actix_rt::spawn(task.run(receiver));
@@ -375,6 +384,7 @@
 
     fn report(&mut self, now: Duration, report: ServerReport) {
         let run = Arc::clone(&report.run.run);
+        let run_started_ms = report.run.started_ms;
         match self.runs.apply(report.run) {
             ReportEffect::Stale => {
                 info!(
@@ -389,6 +399,10 @@
                     cold_remaining,
                     ..
                 } = report;
+                // Both times are of the wall clock of this machine.
+                if run_started_ms + RESTART_TIME_MIN_MS > self.started_ms {
+                    self.gate.cold_mut().record_later_start();
+                }
                 self.begin_run(now, &run, server, address, cold_remaining);
             }
             ReportEffect::Continues => {
