A gate without a configuration grants nothing

Cause: the rule on cold servers and the evacuations are in the configuration. A node whose server had announced itself, but which had no configuration yet, granted every call that entry nodes with a configuration sent.

Change: until its first configuration a gate refuses (`no-configuration`, not run, tried elsewhere). Tests of the gate configure theirs.

Test: a_gate_without_a_configuration_grants_nothing.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -109,6 +109,8 @@
         /// The server's node refused because it or its backend server is
         /// draining or stopping.
         Draining => "draining",
+        /// The server's node has not yet received any configuration.
+        NoConfiguration => "no-configuration",
         /// The server's node refused because its failure domain is evacuated.
         Evacuated => "evacuated",
         /// The server's node has no announced backend server.
@@ -132,6 +134,7 @@
             Self::NoFreeSlot => Some(RetryReason::NoFreeSlot),
             Self::QueueFull => Some(RetryReason::QueueFull),
             Self::Draining | Self::Stopping => Some(RetryReason::Draining),
+            Self::NoConfiguration => Some(RetryReason::NoConfiguration),
             Self::Evacuated => Some(RetryReason::Evacuated),
             Self::NotAnnounced => Some(RetryReason::NotAnnounced),
             Self::ServerRefused => Some(RetryReason::ServerRefused),
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -146,6 +146,8 @@
     announced: Option<AnnouncedServer>,
     draining: bool,
     evacuated: bool,
+    /// True once the configuration in force is known.
+    configured: bool,
     bounds: QueueBounds,
     limit: ConcurrencyLimit,
     cold: ColdLimit,
@@ -171,6 +173,7 @@
             announced: None,
             draining: false,
             evacuated: false,
+            configured: false,
             bounds: QueueBounds::default(),
             limit: ConcurrencyLimit::new(0),
             cold: ColdLimit::default(),
@@ -200,6 +203,7 @@
 
     /// Sets the bounds of the configuration in force.
     pub fn configure(&mut self, bounds: QueueBounds) {
+        self.configured = true;
         self.bounds = bounds;
         self.limit.set_floor(bounds.slots_floor);
         self.cold.configure(bounds.cold);
@@ -436,6 +440,12 @@
         if announced.is_none_or(|server| server.service != call.service) {
             return Err(RefusalReason::NotAnnounced);
         }
+        // Guards against calls from entry nodes that have a configuration earlier
+        // than this node after both have restarted: the server may be cold or
+        // evacuated, and only the configuration says what it then may get.
+        if !self.configured {
+            return Err(RefusalReason::NoConfiguration);
+        }
         if self.evacuated {
             return Err(RefusalReason::Evacuated);
         }
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -360,6 +360,23 @@
     }
 }
 
+// Guards against calls that reach a cold server beyond its limit, or a server of an
+// evacuated domain: its node has restarted and has no configuration yet, while
+// entry nodes have theirs.
+#[test]
+fn a_gate_without_a_configuration_grants_nothing() {
+    let mut gate = ServerGate::default();
+    gate.announce(AnnouncedServer {
+        service: "documents".into(),
+        version: "v1".into(),
+        slots: 2,
+    });
+    let refused = GateAction::Refuse(1, RefusalReason::NoConfiguration);
+    assert_eq!(gate.offer(NOW, 1, offered()), [refused]);
+    gate.configure(QueueBounds::default());
+    assert_eq!(gate.offer(NOW, 2, offered()), [GateAction::Start(2)]);
+}
+
 // Guards against calls that reach a server of an evacuated domain because an entry
 // node lags behind, or because they were queued before the order.
 #[test]
--- a/crates/core/tests/gate_chain.rs
+++ b/crates/core/tests/gate_chain.rs
@@ -7,6 +7,7 @@
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
+use cowslip_core::server_gate::QueueBounds;
 use cowslip_core::server_gate::ServerGate;
 use cowslip_core::server_gate::SlotOutcome;
 
@@ -19,6 +20,7 @@
         version: "v1".into(),
         slots: SLOTS,
     });
+    gate.configure(QueueBounds::default());
     gate
 }
 
--- a/crates/core/tests/load_gate.rs
+++ b/crates/core/tests/load_gate.rs
@@ -348,6 +348,7 @@
         version: "v1".into(),
         slots: 9,
     });
+    gate.configure(QueueBounds::default());
     let call = |route: &str| OfferedCall {
         service: "contract".into(),
         route: route.into(),
--- a/crates/core/tests/load_patterns/fake_fleet.rs
+++ b/crates/core/tests/load_patterns/fake_fleet.rs
@@ -36,6 +36,7 @@
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
+use cowslip_core::server_gate::QueueBounds;
 use cowslip_core::server_gate::ServerGate;
 use cowslip_core::server_gate::SlotOutcome;
 use cowslip_core::verdict::CallVerdict;
@@ -236,6 +237,7 @@
         version: "v1".into(),
         slots: plan.slots,
     });
+    gate.configure(QueueBounds::default());
     let gate = match plan.policy {
         PolicyKind::Real => GateKind::Real(Box::new(gate)),
         PolicyKind::Naive(queue_max) => {
