A server counts as cold 50 ms longer than it reports

By the record of its gate the limit ended at 34.8484 s with the remaining time of the last report, and the twelve calls that waited for that were sent by 34.8500; the server was cold for a moment longer (its health page said until 34.8494 s, in whole milliseconds). Test: a_server_is_cold_a_little_longer_than_it_reports (fails without).

--- a/crates/core/src/load/cold_period.rs
+++ b/crates/core/src/load/cold_period.rs
@@ -10,6 +10,11 @@
 /// within seconds, so a larger value is an error of the reporter.
 const REPORTED_MAX: Duration = Duration::from_secs(60);
 
+/// How much longer than reported a server counts as cold. Reports are in whole
+/// milliseconds and take some to arrive, and everything that waits is sent at once
+/// when the cold period ends.
+const COLD_MARGIN: Duration = Duration::from_millis(50);
+
 /// Reported and assumed cold time of one backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdPeriod {
@@ -40,11 +45,16 @@
     /// cold.
     pub fn report(&mut self, now: Duration, remaining: Duration) {
         self.reported_until = now + remaining.min(REPORTED_MAX);
+        if !remaining.is_zero() {
+            self.reported_until += COLD_MARGIN;
+        }
     }
 
     /// When the server is warm if an assumed period lasts `assumed_time`.
     pub fn warm_at(&self, assumed_time: Duration) -> Duration {
-        let assumed_until = self.assumed_since.map(|since| since + assumed_time);
+        let assumed_until = self
+            .assumed_since
+            .map(|since| since + assumed_time + COLD_MARGIN);
         self.reported_until
             .max(assumed_until.unwrap_or(Duration::ZERO))
     }
