Nodes log what backend servers state about themselves in answers

The node beside a server reads the two statements (calls a second from all nodes together; leaving) from each answer's head and logs changes with the calls at the server, queued and granted so far. No decision uses them yet. The stand-in server can state both.

--- a/crates/cli/src/stand_in.rs
+++ b/crates/cli/src/stand_in.rs
@@ -7,11 +7,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::header::HeaderValue;
 use actix_http::Request;
@@ -19,6 +21,8 @@
 use awc::Client;
 use bytes::BytesMut;
 
+use cowslip_core::server_statement::ServerStatement;
+use cowslip_core::server_statement::StatedRate;
 use cowslip_node::call_headers;
 use cowslip_node::local_handler::AnnounceBody;
 use cowslip_wire::http_listener::HttpHandler;
@@ -38,6 +42,9 @@
 /// Number of first requests that take `cold_start_time` longer.
 const COLD_START_REQUESTS: u32 = 10;
 
+/// Largest number of arrival times that are held.
+const ARRIVALS_MAX: usize = 65_536;
+
 /// Request header with extra processing time, in milliseconds.
 pub const DELAY_HEADER: &str = "stand-in-wait-ms";
 
@@ -81,6 +88,10 @@
     pub failing_percent: Cell<u32>,
     /// Requests admitted to a slot, by idempotency key.
     pub by_key: RefCell<HashMap<String, u32>>,
+    /// What it states in its answers. Set by tests.
+    pub statement: Cell<ServerStatement>,
+    /// When the latest requests arrived, shed ones included.
+    pub arrivals: RefCell<VecDeque<Instant>>,
 }
 
 impl StandIn {
@@ -146,7 +157,12 @@
         let config = Rc::clone(&self.config);
         let counts = Rc::clone(&self.counts);
         let chain = Rc::clone(&self.chain);
-        Box::pin(async move { serve(&config, &counts, &chain, request).await })
+        Box::pin(async move {
+            counts.count_arrival();
+            let mut reply = serve(&config, &counts, &chain, request).await;
+            add_statement(&mut reply, counts.statement.get());
+            reply
+        })
     }
 }
 
@@ -195,6 +211,16 @@
     http_reply::with_content_type(StatusCode::OK, content_type, answer.freeze())
 }
 
+/// Adds the headers of `statement` to an answer.
+fn add_statement(reply: &mut HttpReply, statement: ServerStatement) {
+    if let StatedRate::CallsPerSecond(rate) = statement.rate {
+        http_reply::set_header(reply, call_headers::RATE_LIMIT, &rate.to_string());
+    }
+    if statement.leaving {
+        http_reply::set_header(reply, call_headers::LEAVING, "1");
+    }
+}
+
 /// Returns the extra processing time that the caller requested in
 /// `DELAY_HEADER`.
 fn requested_delay(request: &Request) -> Duration {
@@ -204,6 +230,14 @@
 }
 
 impl StandInCounts {
+    fn count_arrival(&self) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        if arrivals.len() == ARRIVALS_MAX {
+            arrivals.pop_front();
+        }
+        arrivals.push_back(Instant::now());
+    }
+
     fn count_key(&self, request: &Request) {
         let Some(key) = http_reply::header(request, call_headers::IDEMPOTENCY_KEY) else {
             return;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod server_gate;
 pub mod server_presence;
 pub mod server_runs;
+pub mod server_statement;
 pub mod snapshot_chunks;
 pub mod source_proof;
 pub mod source_ring;
--- a/crates/node/src/call_dialect.rs
+++ b/crates/node/src/call_dialect.rs
@@ -1,7 +1,10 @@
 //! Header names and conventions of a fleet's callers and backend servers.
 
+use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 
+use cowslip_core::server_statement::ServerStatement;
+
 use crate::call_headers;
 
 /// Header names and conventions of callers and backend servers. Between nodes,
@@ -21,6 +24,11 @@
     /// How many more milliseconds the backend server stays cold, in the response
     /// of its health page.
     pub health_page_cold_ms: HeaderName,
+    /// Calls a second that a backend server takes from all nodes together, in its
+    /// answers.
+    pub rate_limit: HeaderName,
+    /// Set in the answers of a backend server that is leaving.
+    pub leaving: HeaderName,
     /// Service whose instance sent the request.
     pub caller_service: HeaderName,
     /// Set by a server if it did not run the request.
@@ -40,6 +48,8 @@
             server_run: HeaderName::from_static(call_headers::SERVER_RUN),
             health_page_run: HeaderName::from_static(call_headers::SERVER_RUN),
             health_page_cold_ms: HeaderName::from_static(call_headers::COLD_MS),
+            rate_limit: HeaderName::from_static(call_headers::RATE_LIMIT),
+            leaving: HeaderName::from_static(call_headers::LEAVING),
             caller_service: HeaderName::from_static(call_headers::CALLER_SERVICE),
             not_run: HeaderName::from_static(call_headers::NOT_RUN),
             fractional_retry_after: false,
@@ -49,6 +59,16 @@
 }
 
 impl CallDialect {
+    /// Returns what a backend server states in the headers of an answer.
+    pub fn server_statement(&self, headers: &HeaderMap) -> ServerStatement {
+        // A value that is no text counts as present but unreadable.
+        let text = |name: &HeaderName| {
+            let value = headers.get(name)?;
+            Some(value.to_str().unwrap_or_default())
+        };
+        ServerStatement::parse(text(&self.rate_limit), text(&self.leaving))
+    }
+
     /// Returns whether nodes set this header themselves, so that a caller's value
     /// is never forwarded.
     pub fn rewrites(&self, name: &HeaderName) -> bool {
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -44,6 +44,11 @@
 pub const SERVER_RUN: &str = "cowslip-server-run";
 /// From a backend server's health page: how many more milliseconds it stays cold.
 pub const COLD_MS: &str = "cowslip-cold-ms";
+/// From a backend server: calls a second that it takes from all nodes together, a
+/// decimal number.
+pub const RATE_LIMIT: &str = "cowslip-rate-limit";
+/// From a backend server: 1 if it is leaving and takes no new calls.
+pub const LEAVING: &str = "cowslip-leaving";
 /// Service of the backend server beside the request's entry node.
 pub const CALLER_SERVICE: &str = "cowslip-caller";
 /// From a backend server: the request has not run and will not run.
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -32,6 +32,7 @@
 use cowslip_core::server_runs::ReportEffect;
 use cowslip_core::server_runs::RunReport;
 use cowslip_core::server_runs::ServerRuns;
+use cowslip_core::server_statement::ServerStatement;
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
@@ -39,6 +40,8 @@
 use crate::gate_metrics::GateMetrics;
 use crate::server_probe;
 use crate::server_probe::ProbeResult;
+use crate::statement_log::GateFigures;
+use crate::statement_log::StatementLog;
 
 /// Shortest time in which an earlier process of this node can have been replaced
 /// by this one, in milliseconds. After a power loss node and server start within
@@ -134,6 +137,9 @@
     AcquireSlot(CallTicket, OfferedCall, oneshot::Sender<SlotAnswer>),
     /// The request of a call was sent to the backend server.
     RequestSent(CallTicket),
+    /// The backend server answered, and it states something or has stated
+    /// something before.
+    Answered(AnswerStatement),
     /// A call ended, or its caller stopped waiting for a slot.
     ReleaseSlot(CallTicket, SlotOutcome),
     /// The backend server started an outbound call.
@@ -148,6 +154,17 @@
     Configure(GateConfig),
 }
 
+/// What the backend server states in an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerStatement {
+    /// Run that the request was sent to, if the server names its runs.
+    pub run: Option<Arc<str>>,
+    /// When the request was sent.
+    pub sent: BootInstant,
+    /// The statement.
+    pub statement: ServerStatement,
+}
+
 /// The parts of the configuration in force that concern the gate.
 #[derive(Clone, Debug, Default)]
 pub struct GateConfig {
@@ -166,9 +183,15 @@
     expected_wait: Rc<Cell<Duration>>,
     repeat_probability: Rc<Cell<RepeatProbability>>,
     service_times: Rc<RefCell<HashMap<Arc<str>, Duration>>>,
+    statement: Rc<Cell<ServerStatement>>,
 }
 
 impl GateStatus {
+    /// What the server stated in its latest answer.
+    pub fn statement(&self) -> ServerStatement {
+        self.statement.get()
+    }
+
     /// Expected wait for a slot of a call that arrives now.
     pub fn expected_wait(&self) -> Duration {
         self.expected_wait.get()
@@ -203,6 +226,9 @@
     cold_start: ColdStart,
     /// Whether the log says that the server is cold.
     cold_logged: bool,
+    statement_log: StatementLog,
+    /// Slots granted since the start.
+    granted: u64,
     announcer: EndpointAnnouncer,
     records: mpsc::UnboundedSender<EndpointRecord>,
 }
@@ -232,6 +258,7 @@
     // each slot, so the connection limit also limits the queued messages.
     let (sender, receiver) = mpsc::unbounded_channel();
     let started_ms = wall_clock::millis();
+    let statement_log = StatementLog::new(Arc::clone(&endpoint.instance));
     let task = GateTask {
         status,
         metrics,
@@ -248,6 +275,8 @@
         server: None,
         cold_start: ColdStart::default(),
         cold_logged: false,
+        statement_log,
+        granted: 0,
         announcer: EndpointAnnouncer::new(started_ms),
         records,
     };
@@ -326,6 +355,7 @@
             GateMessage::RequestSent(ticket) => {
                 self.gate.cold_mut().record_sent(now, ticket);
             }
+            GateMessage::Answered(answer) => self.record_statement(now, &answer),
             GateMessage::ReleaseSlot(ticket, outcome) => {
                 self.waiters.remove(&ticket);
                 if let Some((route, work)) = self.gate.service_time(ticket) {
@@ -573,6 +603,22 @@
         );
     }
 
+    /// Records what the server states in an answer, unless another run of it gave
+    /// the answer.
+    fn record_statement(&mut self, now: Duration, answer: &AnswerStatement) {
+        if self.runs.run() != answer.run.as_ref() {
+            return;
+        }
+        self.status.statement.set(answer.statement);
+        let figures = GateFigures {
+            in_flight: self.gate.in_flight(),
+            waiting: self.gate.waiting(),
+            granted: self.granted,
+        };
+        self.statement_log
+            .record(now, answer.run.as_ref(), answer.statement, figures);
+    }
+
     fn apply(&mut self, actions: Vec<GateAction>) {
         for action in actions {
             let (ticket, answer) = match action {
@@ -589,6 +635,7 @@
 
     fn grant(&mut self) -> SlotAnswer {
         let server = self.server.ok_or(RefusalReason::NotAnnounced)?;
+        self.granted += 1;
         Ok(SlotGrant {
             server,
             warm: self.cold_start.record_call(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod server_check;
 pub mod server_probe;
 pub mod startup_queue;
+pub mod statement_log;
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -44,6 +44,7 @@
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::entry_task::CallRefusal;
+use crate::gate_task::AnswerStatement;
 use crate::gate_task::GateMessage;
 use crate::gate_task::GateStatus;
 use crate::gate_task::SlotGrant;
@@ -190,6 +191,7 @@
                 let _ = self.gate.send(GateMessage::Unreachable);
             }
         })?;
+        self.record_statement(&response, &grant, sent);
         slot.outcome = match response.head.status {
             StatusCode::SERVICE_UNAVAILABLE => SlotOutcome::Shed,
             status if status.is_server_error() => SlotOutcome::Abandoned,
@@ -212,6 +214,26 @@
         Ok(reply)
     }
 
+    /// Tells the gate what the server states in its answer, if that may differ from
+    /// what the gate knows.
+    fn record_statement(
+        &self,
+        response: &HopResponse,
+        grant: &SlotGrant,
+        sent: BootInstant,
+    ) {
+        let statement = self.dialect.server_statement(response.head.headers());
+        if statement.is_empty() && self.gate_status.statement().is_empty() {
+            return;
+        }
+        // The gate task ends only with the node.
+        let _ = self.gate.send(GateMessage::Answered(AnswerStatement {
+            run: grant.run.clone(),
+            sent,
+            statement,
+        }));
+    }
+
     /// Returns the headers that the backend server gets with the call.
     fn server_headers(
         &self,
