--- a/crates/cli/tests/calls/main.rs
+++ b/crates/cli/tests/calls/main.rs
@@ -7,3 +7,4 @@
 mod fleet_calls;
 mod malformed;
 mod planned_stop;
+mod stated_limits;
--- /dev/null
+++ b/crates/cli/tests/calls/stated_limits.rs
@@ -0,0 +1,159 @@
+//! Backend servers that state in their answers how many calls a second they take,
+//! or that they are leaving.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cowslip_cli::local_fleet::FleetNode;
+use cowslip_cli::local_fleet::LocalFleet;
+use cowslip_core::server_statement::ServerStatement;
+use cowslip_core::server_statement::StatedRate;
+
+use crate::fleet_calls::fleet;
+use crate::fleet_calls::CallRequest;
+
+/// Calls a second that the limited server takes.
+const RATE: f64 = 3.0;
+
+/// Span in which arrivals are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Allowed arrivals in a span, as a multiple of the stated ones, and beyond that.
+const OVERAGE: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+/// Time after the first statement from which arrivals count.
+const NOTICE_TIME: Duration = Duration::from_millis(500);
+
+/// Interval between the calls of one caller.
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Calls that keep arriving at every node of a fleet.
+struct CallStream {
+    stopped: Rc<Cell<bool>>,
+    callers: Vec<actix_rt::task::JoinHandle<()>>,
+    answered: Rc<Cell<u32>>,
+    other: Rc<Cell<u32>>,
+}
+
+impl CallStream {
+    fn spawn(entries: &[SocketAddr]) -> Self {
+        let mut stream = Self {
+            stopped: Rc::default(),
+            callers: Vec::new(),
+            answered: Rc::default(),
+            other: Rc::default(),
+        };
+        for entry in entries {
+            let caller = stream.call_until_stopped(*entry);
+            stream.callers.push(actix_rt::spawn(caller));
+        }
+        stream
+    }
+
+    fn call_until_stopped(
+        &self,
+        entry: SocketAddr,
+    ) -> impl std::future::Future<Output = ()> {
+        let stopped = Rc::clone(&self.stopped);
+        let answered = Rc::clone(&self.answered);
+        let other = Rc::clone(&self.other);
+        async move {
+            while !stopped.get() {
+                let call = CallRequest {
+                    path: "/contracts/accept",
+                    deadline_ms: Some(2_000),
+                    ..CallRequest::default()
+                };
+                let answer = call.send(entry, b"").await;
+                let count = match answer {
+                    Some(answer) if answer.status == 200 => &answered,
+                    _ => &other,
+                };
+                count.set(count.get() + 1);
+                actix_rt::time::sleep(CALL_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Ends the calls; returns how many were answered and how many were not.
+    async fn stop(self) -> (u32, u32) {
+        self.stopped.set(true);
+        for caller in self.callers {
+            caller.await.expect("a caller ends");
+        }
+        (self.answered.get(), self.other.get())
+    }
+}
+
+fn entries(fleet: &LocalFleet) -> Vec<SocketAddr> {
+    let nodes = fleet.nodes.iter();
+    nodes.map(|node| node.node.callers()).collect()
+}
+
+/// Returns the server at `index`, counted from 0, of the service that is called.
+fn server(fleet: &LocalFleet, index: usize) -> &FleetNode {
+    let name = format!("contract-{}", index + 1);
+    let found = fleet.nodes.iter().find(|node| *node.instance == name);
+    found.expect("a server of the service")
+}
+
+fn arrivals_since(node: &FleetNode, since: Instant) -> Vec<Instant> {
+    let arrivals = node.stand_in.counts().arrivals.borrow();
+    arrivals.iter().copied().filter(|at| *at >= since).collect()
+}
+
+/// Returns the largest number of arrivals in any span.
+fn most_in_a_span(arrivals: &[Instant]) -> usize {
+    let mut most = 0;
+    for (first, from) in arrivals.iter().enumerate() {
+        let within = arrivals[first..]
+            .iter()
+            .take_while(|at| **at - *from < SPAN);
+        most = most.max(within.count());
+    }
+    most
+}
+
+// Guards against a server that states a limit and gets as many calls as before.
+#[test]
+fn a_server_gets_no_more_calls_than_it_states() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let fleet = fleet(folder.path()).await;
+        let limited = server(&fleet, 0);
+        let calls = CallStream::spawn(&entries(&fleet));
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        limited.stand_in.counts().statement.set(ServerStatement {
+            rate: StatedRate::CallsPerSecond(RATE),
+            leaving: false,
+        });
+        let stated = Instant::now();
+        actix_rt::time::sleep(Duration::from_secs(6)).await;
+        let limited_arrivals = arrivals_since(limited, stated + NOTICE_TIME);
+        limited
+            .stand_in
+            .counts()
+            .statement
+            .set(ServerStatement::default());
+        let lifted = Instant::now();
+        actix_rt::time::sleep(Duration::from_secs(4)).await;
+        let later_arrivals = arrivals_since(limited, lifted);
+        let (answered, other) = calls.stop().await;
+        let most = most_in_a_span(&limited_arrivals);
+        let allowed = RATE * SPAN.as_secs_f64() * OVERAGE + SLACK;
+        assert!(most as f64 <= allowed, "{most} calls in a span");
+        // The server takes what it states, and more once it states nothing.
+        assert!(limited_arrivals.len() > 5, "{}", limited_arrivals.len());
+        let usual = RATE * SPAN.as_secs_f64() * OVERAGE;
+        assert!(
+            later_arrivals.len() as f64 > usual,
+            "{}",
+            later_arrivals.len()
+        );
+        assert_eq!(other, 0, "of {answered}");
+    });
+}
