A backend server that states that it is leaving gets no new calls

What callers saw: nothing yet.

Cause: the same as of the stated limit: statements in answers were not read.

Change: the gate treats the statement like a deregistration of the run: waiting calls go elsewhere, new ones are refused as draining and not run, the endpoint is withdrawn. A later report, announcement or health check of the same run does not undo it; another run does.

Test of the gate: a_leaving_run_gets_no_calls_until_another_run_begins.

--- a/crates/cli/tests/calls/stated_limits.rs
+++ b/crates/cli/tests/calls/stated_limits.rs
@@ -30,6 +30,9 @@
 /// Time after the first statement from which arrivals count.
 const NOTICE_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which a leaving server gets no calls.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Interval between the calls of one caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -160,3 +163,25 @@
         assert_eq!(other, 0, "of {answered}");
     });
 }
+
+// Guards against a server that states that it is leaving and gets new calls.
+#[test]
+fn a_leaving_server_gets_no_calls() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let fleet = fleet(folder.path()).await;
+        let leaving = server(&fleet, 1);
+        let calls = CallStream::spawn(&entries(&fleet));
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        leaving.stand_in.counts().statement.set(ServerStatement {
+            leaving: true,
+            ..ServerStatement::default()
+        });
+        let drained = Instant::now() + DRAIN_TIME;
+        actix_rt::time::sleep(DRAIN_TIME + SPAN).await;
+        let late_arrivals = arrivals_since(leaving, drained);
+        let (answered, other) = calls.stop().await;
+        assert_eq!(late_arrivals.len(), 0);
+        assert_eq!(other, 0, "of {answered}");
+    });
+}
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -148,6 +148,8 @@
 pub struct ServerGate {
     announced: Option<AnnouncedServer>,
     draining: bool,
+    /// True if the run of the server has stated that it is leaving.
+    leaving: bool,
     evacuated: bool,
     /// True once the configuration in force is known.
     configured: bool,
@@ -178,6 +180,7 @@
         Self {
             announced: None,
             draining: false,
+            leaving: false,
             evacuated: false,
             configured: false,
             bounds: QueueBounds::default(),
@@ -237,6 +240,7 @@
         };
         if !continues {
             self.stated = StatedLimit::default();
+            self.leaving = false;
         }
         self.run = run;
     }
@@ -249,6 +253,10 @@
         sent_at: Duration,
         statement: ServerStatement,
     ) -> Vec<GateAction> {
+        if statement.leaving {
+            self.leaving = true;
+            return self.refuse_queued(RefusalReason::Draining);
+        }
         self.stated.record(now, sent_at, statement.rate);
         let mut actions = Vec::new();
         self.start_waiting(now, &mut actions);
@@ -308,9 +316,15 @@
         self.announced.as_ref()
     }
 
-    /// True from the start of a drain until the next announcement.
+    /// True from the start of a drain until the next announcement, and while the
+    /// current run is one that has stated that it is leaving.
     pub fn is_draining(&self) -> bool {
-        self.draining
+        self.draining || self.leaving
+    }
+
+    /// True if the current run of the server has stated that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
     }
 
     /// True while the failure domain of the server is evacuated.
@@ -514,7 +528,7 @@
         if self.evacuated {
             return Err(RefusalReason::Evacuated);
         }
-        if self.draining {
+        if self.is_draining() {
             return Err(RefusalReason::Draining);
         }
         // Guards against work that cannot end before its deadline: it would
--- a/crates/core/tests/stated_limit.rs
+++ b/crates/core/tests/stated_limit.rs
@@ -1,5 +1,5 @@
-//! Servers that state how many calls a second they take: what reaches them in any
-//! four seconds, and who is served under overload.
+//! Servers that state how many calls a second they take, or that they are leaving:
+//! what reaches them, and who is served under overload.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -339,3 +339,24 @@
         .record_statement(server.now, millis(30), unlimited);
     assert_eq!(started, vec![GateAction::Start(1)]);
 }
+
+// Guards against a leaving server that gets calls again because it is announced once
+// more, and against one whose next run gets none.
+#[test]
+fn a_leaving_run_gets_no_calls_until_another_run_begins() {
+    let mut gate = gate();
+    let server = gate.announced().cloned().expect("an announced server");
+    let statement = ServerStatement {
+        leaving: true,
+        ..ServerStatement::default()
+    };
+    gate.record_statement(millis(100), millis(80), statement);
+    gate.announce(server);
+    assert!(gate.is_draining());
+    let refused = vec![GateAction::Refuse(1, RefusalReason::Draining)];
+    assert_eq!(gate.offer(millis(110), 1, offered(false)), refused);
+    gate.begin_run(Some(run(Some(2))));
+    assert!(!gate.is_draining());
+    let started = vec![GateAction::Start(2)];
+    assert_eq!(gate.offer(millis(120), 2, offered(false)), started);
+}
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -618,9 +618,17 @@
         };
         self.statement_log
             .record(now, answer.run.as_ref(), answer.statement, figures);
+        let began_to_leave = answer.statement.leaving && !self.gate.is_leaving();
         let sent_at = answer.sent.saturating_duration_since(self.started);
         let actions = self.gate.record_statement(now, sent_at, answer.statement);
         self.apply(actions);
+        if began_to_leave {
+            if let Some(run) = &answer.run {
+                self.runs.deregister(run, None);
+            }
+            self.presence.drain(now);
+            self.withdraw("leaving");
+        }
     }
 
     fn apply(&mut self, actions: Vec<GateAction>) {
