A node that restarts beside a server learns from entry nodes what the server stated

What callers saw: nothing yet; found by asking what else could break the two rules. The node beside a server is killed while the server runs on.

Change: an entry node keeps the statement with the run that made it (ServerNotices) and repeats it with its calls to that server. The server's node refuses a call whose entry node knows that the current run is leaving, and takes the lowest repeated limit until the server has answered a call of its own process. An answer that states nothing ends what was kept before the call was planned. Servers of the product's own interface may name their runs when they announce themselves; the stand-in does.

Nodes of an older build neither send nor read the header.

--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -58,6 +58,8 @@
     pub stand_in: StandIn,
     /// Instance name of both.
     pub instance: Arc<str>,
+    /// Failure domain of both.
+    pub failure_domain: Arc<str>,
 }
 
 /// A running local fleet.
@@ -114,6 +116,22 @@
         Ok(())
     }
 
+    /// Stops the node at `at` and starts it again under the same name. Its backend
+    /// server runs on and does not announce itself again.
+    pub async fn restart_node(&mut self, at: usize) -> Result<(), FleetError> {
+        let old = self.nodes.remove(at);
+        old.node.stop().await;
+        let settings = node_settings(
+            Arc::clone(&old.instance),
+            Arc::clone(&old.failure_domain),
+            self.addresses(),
+        );
+        let sockets = NodeSockets::bind(&settings)?;
+        let node = NodeDaemon::spawn(&settings, sockets, at as u64)?;
+        self.nodes.insert(at, FleetNode { node, ..old });
+        Ok(())
+    }
+
     /// Returns the addresses of the control instances.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         control_addresses(&self.controls)
@@ -183,6 +201,15 @@
     }
 }
 
+fn node_settings(
+    instance: Arc<str>,
+    failure_domain: Arc<str>,
+    controls: Vec<SocketAddr>,
+) -> NodeSettings {
+    let system_key = AccessKey::new(SYSTEM_KEY);
+    NodeSettings::on_loopback(instance, failure_domain, controls, system_key)
+}
+
 async fn spawn_node(
     plan: &DeploymentPlan,
     server: NewServer<'_>,
@@ -190,11 +217,11 @@
     seed: u64,
 ) -> Result<FleetNode, FleetError> {
     let instance = server.instance();
-    let settings = NodeSettings::on_loopback(
+    let failure_domain = plan.failure_domain(server.number);
+    let settings = node_settings(
         Arc::clone(&instance),
-        plan.failure_domain(server.number),
+        Arc::clone(&failure_domain),
         controls.to_vec(),
-        AccessKey::new(SYSTEM_KEY),
     );
     let sockets = NodeSockets::bind(&settings)?;
     let node = NodeDaemon::spawn(&settings, sockets, seed)?;
@@ -212,5 +239,6 @@
         node,
         stand_in,
         instance,
+        failure_domain,
     })
 }
--- a/crates/cli/src/stand_in.rs
+++ b/crates/cli/src/stand_in.rs
@@ -30,6 +30,7 @@
 use cowslip_wire::http_listener::ReplyFuture;
 use cowslip_wire::http_reply;
 use cowslip_wire::http_reply::HttpReply;
+use cowslip_wire::wall_clock;
 
 use crate::call_chain::CallChain;
 
@@ -70,6 +71,8 @@
 /// A running stand-in.
 pub struct StandIn {
     listener: HttpListener,
+    /// Name of this run, unique among the stand-ins of all processes.
+    run: Arc<str>,
     config: StandInConfig,
     counts: Rc<StandInCounts>,
     chain: Rc<CallChain>,
@@ -107,8 +110,11 @@
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener =
             HttpListener::bind(address, config.connections_max, Rc::new(handler))?;
+        let began_ms = wall_clock::millis();
+        let run = format!("{}-{began_ms}-{}", config.instance, listener.address());
         Ok(Self {
             listener,
+            run: run.into(),
             config,
             counts,
             chain,
@@ -135,6 +141,7 @@
             address: self.listener.address(),
             slots: self.config.slots,
             cold_ms: None,
+            run: Some(Arc::clone(&self.run)),
         };
         let sent = Client::default().post(format!("http://{node}/announce"));
         let response = sent.send_body(serde_json::to_vec(&body)?).await;
--- a/crates/cli/tests/calls/fleet_calls.rs
+++ b/crates/cli/tests/calls/fleet_calls.rs
@@ -132,6 +132,7 @@
 pub async fn announce(node: &NodeDaemon, address: SocketAddr, slots: u32) {
     let body = AnnounceBody {
         cold_ms: None,
+        run: None,
         service: "tested".into(),
         version: "v1".into(),
         address,
--- a/crates/cli/tests/calls/stated_limits.rs
+++ b/crates/cli/tests/calls/stated_limits.rs
@@ -9,6 +9,9 @@
 
 use cowslip_cli::local_fleet::FleetNode;
 use cowslip_cli::local_fleet::LocalFleet;
+use cowslip_cli::stand_in::StandIn;
+use cowslip_cli::stand_in::StandInConfig;
+use cowslip_cli::stand_in::CONNECTIONS_MAX;
 use cowslip_core::server_statement::ServerStatement;
 use cowslip_core::server_statement::StatedRate;
 use cowslip_core::tuning::TuningKey;
@@ -16,6 +19,7 @@
 use crate::fleet_calls::fleet;
 use crate::fleet_calls::set_default;
 use crate::fleet_calls::CallRequest;
+use crate::fleet_calls::FLEET_TIMEOUT;
 
 /// Calls a second that the limited server takes.
 const RATE: f64 = 3.0;
@@ -185,3 +189,63 @@
         assert_eq!(other, 0, "of {answered}");
     });
 }
+
+// Guards against a leaving server that gets calls again after its node was restarted,
+// from an entry node that has passed on that it is leaving.
+#[test]
+fn a_leaving_server_gets_no_calls_after_its_node_restarted() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut fleet = fleet(folder.path()).await;
+        let leaving = StandIn::spawn(StandInConfig {
+            instance: "tested-1".into(),
+            service: "tested".into(),
+            version: "v1".into(),
+            slots: 4,
+            connections_max: CONNECTIONS_MAX,
+            work_time: Duration::from_millis(2),
+            cold_start_time: Duration::ZERO,
+        });
+        let leaving = leaving.expect("a server");
+        let beside = 3;
+        let local = fleet.nodes[beside].node.local();
+        leaving.announce(local).await.expect("the node answers");
+        let informed = fleet.nodes[0].node.callers();
+        let uninformed = fleet.nodes[1].node.callers();
+        call_until_answered(informed).await;
+        leaving.counts().statement.set(ServerStatement {
+            leaving: true,
+            ..ServerStatement::default()
+        });
+        call_until_answered(informed).await;
+
+        fleet.restart_node(beside).await.expect("the node starts");
+        let local = fleet.nodes[beside].node.local();
+        leaving.announce(local).await.expect("the node answers");
+        let drained = Instant::now() + DRAIN_TIME;
+        while Instant::now() < drained {
+            assert_ne!(call_tested(informed).await, 200);
+            actix_rt::time::sleep(CALL_INTERVAL).await;
+        }
+        // The restarted node does serve the server.
+        call_until_answered(uninformed).await;
+    });
+}
+
+async fn call_tested(entry: SocketAddr) -> u16 {
+    let call = CallRequest {
+        path: "/tested/sale",
+        deadline_ms: Some(1_000),
+        ..CallRequest::default()
+    };
+    let answer = call.send(entry, b"").await;
+    answer.map_or(0, |answer| answer.status)
+}
+
+async fn call_until_answered(entry: SocketAddr) {
+    let started = Instant::now();
+    while call_tested(entry).await != 200 {
+        assert!(started.elapsed() < FLEET_TIMEOUT, "no call is answered");
+        actix_rt::time::sleep(CALL_INTERVAL).await;
+    }
+}
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -40,6 +40,7 @@
 use crate::rollout::node_guard::NodeGuard;
 use crate::route_table::RouteTable;
 use crate::server_gate::QueueBounds;
+use crate::server_notice::ServerNotices;
 use crate::tuning::TuningKey;
 use crate::verdict::CallVerdict;
 use crate::version::ConfigVersion;
@@ -105,6 +106,7 @@
     servers: FleetServers,
     service_loads: HashMap<Arc<str>, ServiceLoad>,
     guard: NodeGuard,
+    notices: ServerNotices,
     rng: SmallRng,
 }
 
@@ -120,6 +122,7 @@
             servers: FleetServers::default(),
             service_loads: HashMap::new(),
             guard: NodeGuard::default(),
+            notices: ServerNotices::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -180,6 +183,11 @@
         &mut self.guard
     }
 
+    /// Statements of the servers whose answers this node passed on.
+    pub fn notices(&mut self) -> &mut ServerNotices {
+        &mut self.notices
+    }
+
     /// True if `instance` is the last server of the old version and must run
     /// until the move ends.
     pub fn is_last_old_server(&self, instance: &str) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod rollout;
 pub mod route_table;
 pub mod server_gate;
+pub mod server_notice;
 pub mod server_presence;
 pub mod server_run;
 pub mod server_runs;
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -27,8 +27,10 @@
 use crate::outbound_calls::OutboundCalls;
 use crate::outbound_calls::OutboundMark;
 use crate::refusal::RefusalReason;
+use crate::server_notice::ServerNotice;
 use crate::server_run::ServerRun;
 use crate::server_statement::ServerStatement;
+use crate::server_statement::StatedRate;
 use crate::tuning::TuningKey;
 
 /// Divisor of the slots that gives the number reserved for short jobs, rounded
@@ -159,6 +161,8 @@
     /// Run of the server, if it names its runs.
     run: Option<ServerRun>,
     stated: StatedLimit,
+    /// True once the run has answered a call of this process.
+    answered: bool,
     times: ServiceTimes,
     running: HashMap<CallTicket, RunningCall>,
     running_long: u32,
@@ -188,6 +192,7 @@
             cold: ColdLimit::default(),
             run: None,
             stated: StatedLimit::default(),
+            answered: false,
             times: ServiceTimes::default(),
             running: HashMap::new(),
             running_long: 0,
@@ -241,10 +246,16 @@
         if !continues {
             self.stated = StatedLimit::default();
             self.leaving = false;
+            self.answered = false;
         }
         self.run = run;
     }
 
+    /// Run of the server that is sent calls, if the server names its runs.
+    pub fn run(&self) -> Option<&ServerRun> {
+        self.run.as_ref()
+    }
+
     /// Applies what the server stated in an answer that arrived at `now` to a
     /// request that was sent at `sent_at`.
     pub fn record_statement(
@@ -257,6 +268,7 @@
             self.leaving = true;
             return self.refuse_queued(RefusalReason::Draining);
         }
+        self.answered = true;
         self.stated.record(now, sent_at, statement.rate);
         let mut actions = Vec::new();
         self.start_waiting(now, &mut actions);
@@ -264,6 +276,36 @@
         actions
     }
 
+    /// Applies what an entry node heard the server state, before a call of that
+    /// entry node. A limit counts only until the server has answered a call of this
+    /// process; of several limits the lowest counts, since which is the latest is
+    /// not known.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the call if the entry node heard that the current run is leaving.
+    pub fn apply_notice(
+        &mut self,
+        now: Duration,
+        notice: &ServerNotice,
+    ) -> Result<(), RefusalReason> {
+        let current = self.run.as_ref();
+        if !current.is_some_and(|run| run.may_be(&notice.run)) {
+            return Ok(());
+        }
+        if notice.statement.leaving {
+            return Err(RefusalReason::Draining);
+        }
+        if let (StatedRate::CallsPerSecond(rate), false) =
+            (notice.statement.rate, self.answered)
+        {
+            let lowest = self.stated.rate().map_or(rate, |known| known.min(rate));
+            let lowest = StatedRate::CallsPerSecond(lowest);
+            self.stated.record(now, now, lowest);
+        }
+        Ok(())
+    }
+
     /// Calls a second that the server says it takes; `None` if it states no limit.
     pub fn stated_rate(&self) -> Option<f64> {
         self.stated.rate()
@@ -576,6 +618,7 @@
         let ratio = self.times.ratio(&call.route, elapsed);
         match outcome {
             SlotOutcome::Answered(taken) => {
+                self.answered = true;
                 let uncontended = self
                     .limit
                     .is_uncontended(in_flight.max(call.in_flight_at_start));
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -49,6 +49,9 @@
 pub const RATE_LIMIT: &str = "cowslip-rate-limit";
 /// From a backend server: 1 if it is leaving and takes no new calls.
 pub const LEAVING: &str = "cowslip-leaving";
+/// Between nodes: what the backend server stated about itself. With an answer, in
+/// that answer; with a call, in the last answer that the entry node passed on.
+pub const NOTICE: &str = "cowslip-notice";
 /// Service of the backend server beside the request's entry node.
 pub const CALLER_SERVICE: &str = "cowslip-caller";
 /// From a backend server: the request has not run and will not run.
@@ -81,7 +84,7 @@
 
 /// Headers that each hop sets itself, so that the values of a caller or a
 /// backend server are never forwarded.
-const REWRITTEN: [&str; 21] = [
+const REWRITTEN: [&str; 22] = [
     "host",
     "content-length",
     "expect",
@@ -103,6 +106,7 @@
     WORK_MS,
     WAIT_MS,
     REPEATS,
+    NOTICE,
 ];
 
 /// Returns whether a header is forwarded unchanged to the next hop.
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -26,6 +26,7 @@
 use cowslip_core::rollout::evidence::MeasuredTry;
 use cowslip_core::rollout::evidence::TryOutcome;
 use cowslip_core::rollout::node_guard::EndedTry;
+use cowslip_core::server_notice::ServerNotice;
 use cowslip_core::verdict::CallVerdict;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::access_key::KEY_HEADER;
@@ -403,6 +404,14 @@
         let sending = self.pools.send(address, &request, body, planned.left);
         let mut response = sending.await?;
         planned.reported_load = reported_load(&response);
+        if let Some(notice) = server_notice(&response) {
+            let instance = Arc::clone(&planned.server.instance);
+            // The entry task ends only with the node.
+            let _ = self
+                .entry
+                .send(EntryMessage::Stated(instance, notice))
+                .await;
+        }
         // A short response is buffered completely before it is forwarded, so that
         // an idempotent call can still be retried if the response breaks off.
         let left = give_up_at.saturating_duration_since(BootInstant::now());
@@ -453,6 +462,9 @@
             let share = plan.repeats.per_mille().to_string();
             fields.push((call_headers::REPEATS, share));
         }
+        if let Some(notice) = &planned.notice {
+            fields.push((call_headers::NOTICE, notice.to_string()));
+        }
         if let Some(service) = &self.service {
             fields.push((call_headers::CALLER_SERVICE, service.to_string()));
         }
@@ -569,6 +581,12 @@
     })
 }
 
+/// Returns what the backend server stated in its answer, if its node says so.
+fn server_notice(response: &HopResponse) -> Option<ServerNotice> {
+    let value = response.head.headers().get(call_headers::NOTICE)?;
+    ServerNotice::parse(value.to_str().ok()?)
+}
+
 /// Returns a header's value, in milliseconds, as a duration.
 fn header_millis(response: &HopResponse, name: &str) -> Option<Duration> {
     let value = response.head.headers().get(name)?;
--- a/crates/node/src/entry_handler/try_guard.rs
+++ b/crates/node/src/entry_handler/try_guard.rs
@@ -12,12 +12,14 @@
 use cowslip_core::rollout::node_guard::EndedTry;
 
 use crate::call_forward;
+use crate::entry_task::EndedAttempt;
 use crate::entry_task::EntryMessage;
 use crate::entry_task::PlannedTry;
 use crate::hop::HopResponse;
 
 use super::ended_try;
 use super::reported_load;
+use super::server_notice;
 
 /// Reports the end of an attempt to the entry task on drop, so that every
 /// path out of a call reports it.
@@ -28,6 +30,7 @@
     /// service under a move. Without it, the bound on calls to the new version
     /// would be exceeded unnoticed while many callers disconnect early.
     abandoned: Option<EndedTry>,
+    planned_at: Duration,
 }
 
 impl TryGuard {
@@ -42,6 +45,7 @@
         Self {
             entry,
             message: Some(EntryMessage::Abandoned(instance)),
+            planned_at: planned.planned_at,
             abandoned: planned.measured.then(|| ended_try(planned, abandoned)),
         }
     }
@@ -68,7 +72,12 @@
             bytes: call_forward::stated_length(response.head.headers())
                 .or(Some(response.body.buffered().len() as u64)),
         };
-        self.message = Some(EntryMessage::Ended(report, reported_load(response)));
+        self.message = Some(EntryMessage::Ended(Box::new(EndedAttempt {
+            report,
+            planned_at: self.planned_at,
+            reported_load: reported_load(response),
+            has_notice: server_notice(response).is_some(),
+        })));
         self.abandoned = None;
     }
 
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -29,6 +29,7 @@
 use cowslip_core::refusal::RetryReason;
 use cowslip_core::rollout::evidence::EvidenceReport;
 use cowslip_core::rollout::node_guard::EndedTry;
+use cowslip_core::server_notice::ServerNotice;
 use cowslip_core::verdict::CallVerdict;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
@@ -82,6 +83,10 @@
     pub waited: Duration,
     /// Time left until the route's target latency has passed.
     pub target_left: Option<Duration>,
+    /// What this node last heard the server state, if anything.
+    pub notice: Option<ServerNotice>,
+    /// When the server was chosen, since the start of the entry task.
+    pub planned_at: Duration,
     /// Load that the server's node reported with its response.
     pub reported_load: Option<ReportedLoad>,
     /// Reason for the retry; `None` for the first attempt.
@@ -110,9 +115,11 @@
     Admit(OwnedHead, oneshot::Sender<RoutingResult>),
     /// An attempt failed; asks for a retry or a refusal.
     Failed(Box<PlannedTry>, TryFailure, oneshot::Sender<RoutingResult>),
-    /// The response to an attempt was forwarded completely or abandoned, with
-    /// the load that the server's node reported in it.
-    Ended(TryReport, Option<ReportedLoad>),
+    /// The response to an attempt was forwarded completely or abandoned.
+    Ended(Box<EndedAttempt>),
+    /// The backend server of this instance stated something in a response whose
+    /// head has arrived.
+    Stated(Arc<str>, ServerNotice),
     /// An attempt at this instance was abandoned before any response.
     Abandoned(Arc<str>),
     /// Outcome of an attempt of a service under a move.
@@ -134,6 +141,19 @@
     Holders(KeyDigest, oneshot::Sender<KeyHolders>),
 }
 
+/// An attempt whose response was forwarded completely or abandoned.
+#[derive(Debug)]
+pub struct EndedAttempt {
+    /// The response and its call.
+    pub report: TryReport,
+    /// When the server was chosen, since the start of the entry task.
+    pub planned_at: Duration,
+    /// Load that the server's node reported with its response.
+    pub reported_load: Option<ReportedLoad>,
+    /// Whether the server stated something about itself.
+    pub has_notice: bool,
+}
+
 /// Holders of a key and their addresses.
 #[derive(Debug, Default)]
 pub struct KeyHolders {
@@ -216,13 +236,10 @@
                 let answer = self.next_try(*failed, failure);
                 self.reply_or_abandon(reply, answer);
             }
-            EntryMessage::Ended(report, reported_load) => {
+            EntryMessage::Ended(ended) => self.end_attempt(&ended),
+            EntryMessage::Stated(instance, notice) => {
                 let now = self.started.elapsed();
-                if let Some(load) = reported_load {
-                    self.router
-                        .record_load(now, &report.instance, &report.route, load);
-                }
-                self.router.ended(now, &report);
+                self.router.notices().keep(now, instance, notice);
             }
             EntryMessage::Abandoned(instance) => {
                 self.router.abandoned(self.started.elapsed(), &instance);
@@ -250,6 +267,20 @@
         }
     }
 
+    fn end_attempt(&mut self, ended: &EndedAttempt) {
+        let now = self.started.elapsed();
+        let report = &ended.report;
+        if let Some(load) = ended.reported_load {
+            self.router
+                .record_load(now, &report.instance, &report.route, load);
+        }
+        if !ended.has_notice {
+            let notices = self.router.notices();
+            notices.record_answer(ended.planned_at, &report.instance);
+        }
+        self.router.ended(now, report);
+    }
+
     /// Sends the answer. If the receiver is gone, reports the planned attempt
     /// as abandoned.
     fn reply_or_abandon(
@@ -329,6 +360,8 @@
                 left: plan.deadline_at.saturating_sub(now),
                 waited: now.saturating_sub(plan.arrived_at),
                 target_left: plan.target_at.map(|at| at.saturating_sub(now)),
+                notice: self.router.notices().get(&server.instance).cloned(),
+                planned_at: now,
                 reported_load: None,
                 plan,
                 server,
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -27,8 +27,10 @@
 use cowslip_core::server_gate::QueueBounds;
 use cowslip_core::server_gate::ServerGate;
 use cowslip_core::server_gate::SlotOutcome;
+use cowslip_core::server_notice::ServerNotice;
 use cowslip_core::server_presence::PresenceRefusal;
 use cowslip_core::server_presence::ServerPresence;
+use cowslip_core::server_run::ServerRun;
 use cowslip_core::server_runs::ReportEffect;
 use cowslip_core::server_runs::RunReport;
 use cowslip_core::server_runs::ServerRuns;
@@ -69,12 +71,25 @@
     /// True if the backend server is past its cold start.
     pub warm: bool,
     /// Run of the backend server, if it names its runs.
-    pub run: Option<Arc<str>>,
+    pub run: Option<ServerRun>,
     /// Whether the gate must be told when the request has been sent, because the
     /// calls to the server in any second are limited or may become so.
     pub counts_sends: bool,
 }
 
+/// A backend server's announcement of itself.
+#[derive(Clone, Debug)]
+pub struct ServerAnnouncement {
+    /// Name of the run, if the server names its runs.
+    pub run: Option<Arc<str>>,
+    /// Service, version and slots.
+    pub server: AnnouncedServer,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// How much longer the server stays cold, if it states it.
+    pub cold_remaining: Option<Duration>,
+}
+
 /// A periodic report from a backend server.
 #[derive(Clone, Debug)]
 pub struct ServerReport {
@@ -110,14 +125,8 @@
 /// A message to the gate task.
 #[derive(Debug)]
 pub enum GateMessage {
-    /// The backend server at this address announced itself, with its remaining
-    /// cold time if it states one.
-    Announce(
-        AnnouncedServer,
-        SocketAddr,
-        Option<Duration>,
-        oneshot::Sender<AnnounceAnswer>,
-    ),
+    /// The backend server announced itself.
+    Announce(ServerAnnouncement, oneshot::Sender<AnnounceAnswer>),
     /// A periodic report; answered once the gate has applied it.
     Report(ServerReport, oneshot::Sender<()>),
     /// A health check found a run that has not reported yet.
@@ -133,8 +142,14 @@
     Unreachable,
     /// Result of a probe of the backend server's address.
     Probed(SocketAddr, ProbeResult),
-    /// A call requests a slot.
-    AcquireSlot(CallTicket, OfferedCall, oneshot::Sender<SlotAnswer>),
+    /// A call requests a slot. Its entry node may have heard the server state
+    /// something.
+    AcquireSlot(
+        CallTicket,
+        OfferedCall,
+        Option<ServerNotice>,
+        oneshot::Sender<SlotAnswer>,
+    ),
     /// The request of a call was sent to the backend server.
     RequestSent(CallTicket),
     /// The backend server answered, and it states something or had stated a limit.
@@ -157,7 +172,7 @@
 #[derive(Clone, Debug)]
 pub struct AnswerStatement {
     /// Run that the request was sent to, if the server names its runs.
-    pub run: Option<Arc<str>>,
+    pub run: Option<ServerRun>,
     /// When the request was sent.
     pub sent: BootInstant,
     /// The statement.
@@ -311,9 +326,8 @@
     fn handle(&mut self, message: GateMessage) {
         let now = self.started.elapsed();
         match message {
-            GateMessage::Announce(server, address, cold_remaining, reply) => {
-                let announced = self.announce(now, server, address, cold_remaining);
-                let _ = reply.send(announced);
+            GateMessage::Announce(announcement, reply) => {
+                let _ = reply.send(self.announce(now, announcement));
             }
             GateMessage::Report(report, reply) => {
                 self.report(now, report);
@@ -347,9 +361,14 @@
                 self.presence.drain(now);
                 self.withdraw("draining");
             }
-            GateMessage::AcquireSlot(ticket, call, reply) => {
+            GateMessage::AcquireSlot(ticket, call, notice, reply) => {
                 self.waiters.insert(ticket, reply);
-                let actions = self.gate.offer(now, ticket, call);
+                let heard =
+                    notice.map_or(Ok(()), |notice| self.gate.apply_notice(now, &notice));
+                let actions = match heard {
+                    Ok(()) => self.gate.offer(now, ticket, call),
+                    Err(reason) => vec![GateAction::Refuse(ticket, reason)],
+                };
                 self.apply(actions);
             }
             GateMessage::RequestSent(ticket) => {
@@ -385,10 +404,21 @@
     fn announce(
         &mut self,
         now: Duration,
-        server: AnnouncedServer,
-        address: SocketAddr,
-        cold_remaining: Option<Duration>,
+        announcement: ServerAnnouncement,
     ) -> AnnounceAnswer {
+        let ServerAnnouncement {
+            run,
+            server,
+            address,
+            cold_remaining,
+        } = announcement;
+        let run = run.map(|name| ServerRun {
+            name,
+            started_ms: None,
+        });
+        if run.is_some() && run.as_ref() == self.gate.run() && self.gate.is_leaving() {
+            return Err(PresenceRefusal::Draining);
+        }
         let in_flight = self.gate.in_flight();
         self.presence.announce(now, address, in_flight)?;
         info!(
@@ -400,9 +430,11 @@
             self.cold_start.restart();
             self.status.service_times.borrow_mut().clear();
         }
-        if !unchanged || self.server != Some(address) || self.gate.is_draining() {
+        let same_run =
+            unchanged && self.server == Some(address) && self.gate.run() == run.as_ref();
+        if !same_run || self.gate.is_draining() {
             self.gate.cold_mut().begin_run(now, cold_remaining);
-            self.gate.begin_run(None);
+            self.gate.begin_run(run);
         } else if let Some(remaining) = cold_remaining {
             self.gate.cold_mut().report(now, remaining);
         }
@@ -605,10 +637,22 @@
         );
     }
 
+    /// The run that calls are sent to, if the server names its runs.
+    fn current_run(&self) -> Option<ServerRun> {
+        let reported = self.runs.server_run();
+        reported.or_else(|| self.gate.run().cloned())
+    }
+
     /// Records what the server states in an answer, unless another run of it gave
     /// the answer.
     fn record_statement(&mut self, now: Duration, answer: &AnswerStatement) {
-        if self.runs.run() != answer.run.as_ref() {
+        let current = self.current_run();
+        let given_by_current = match (&current, &answer.run) {
+            (Some(current), Some(run)) => current.may_be(run),
+            (None, None) => true,
+            _ => false,
+        };
+        if !given_by_current {
             return;
         }
         let figures = GateFigures {
@@ -617,14 +661,14 @@
             granted: self.granted,
         };
         self.statement_log
-            .record(now, answer.run.as_ref(), answer.statement, figures);
+            .record(now, current.as_ref(), answer.statement, figures);
         let began_to_leave = answer.statement.leaving && !self.gate.is_leaving();
         let sent_at = answer.sent.saturating_duration_since(self.started);
         let actions = self.gate.record_statement(now, sent_at, answer.statement);
         self.apply(actions);
         if began_to_leave {
             if let Some(run) = &answer.run {
-                self.runs.deregister(run, None);
+                self.runs.deregister(&run.name, None);
             }
             self.presence.drain(now);
             self.withdraw("leaving");
@@ -651,7 +695,7 @@
         Ok(SlotGrant {
             server,
             warm: self.cold_start.record_call(),
-            run: self.runs.run().cloned(),
+            run: self.current_run(),
             counts_sends: self.gate.counts_sends(),
         })
     }
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -24,6 +24,7 @@
 
 use crate::entry_handler::EntryProxy;
 use crate::gate_task::GateMessage;
+use crate::gate_task::ServerAnnouncement;
 use crate::node_stage::NodeStage;
 
 /// Largest accepted announcement, in bytes. Announcements are a few lines of
@@ -46,6 +47,10 @@
     /// say is taken to be cold when it starts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold_ms: Option<u64>,
+    /// Name of this run of the server, which no other run has. A server that names
+    /// its runs gets the name with each request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub run: Option<Arc<str>>,
 }
 
 /// HTTP handler for the backend server's requests.
@@ -128,11 +133,14 @@
         slots: announcement.slots,
     };
     let (reply, answer) = oneshot::channel();
-    let cold_remaining = announcement.cold_ms.map(Duration::from_millis);
-    let address = announcement.address;
-    let message = GateMessage::Announce(server, address, cold_remaining, reply);
+    let announcement = ServerAnnouncement {
+        run: announcement.run,
+        server,
+        address: announcement.address,
+        cold_remaining: announcement.cold_ms.map(Duration::from_millis),
+    };
     // The gate task ends only with the node.
-    let _ = gate.send(message);
+    let _ = gate.send(GateMessage::Announce(announcement, reply));
     match answer.await.unwrap_or(Err(PresenceRefusal::NodeStopping)) {
         Ok(()) => http_reply::text(StatusCode::OK, "announced"),
         Err(refusal) => http_reply::text(StatusCode::CONFLICT, refusal.to_string()),
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -20,6 +20,7 @@
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::SlotOutcome;
+use cowslip_core::server_notice::ServerNotice;
 use cowslip_core::verdict::CallVerdict;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::access_key::KEY_HEADER;
@@ -167,10 +168,12 @@
         let left = call.left;
         let caller = http_reply::header(&request, call_headers::CALLER_SERVICE);
         let caller = caller.map(str::to_owned);
+        let notice = http_reply::header(&request, call_headers::NOTICE);
+        let notice = notice.and_then(ServerNotice::parse);
         let parts = CallParts::of(&request, &self.dialect);
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
         call.left = time_left(left, arrived)?;
-        let (grant, mut slot) = self.acquire_slot(call).await?;
+        let (grant, mut slot) = self.acquire_slot(call, notice).await?;
         let left = deadline_budget::for_next_hop(time_left(left, arrived)?);
         let sent = BootInstant::now();
         let mut request = parts.hop_request(
@@ -191,7 +194,7 @@
                 let _ = self.gate.send(GateMessage::Unreachable);
             }
         })?;
-        self.record_statement(&response, &grant, sent);
+        let notice = self.record_statement(&response, &grant, sent);
         slot.outcome = match response.head.status {
             StatusCode::SERVICE_UNAVAILABLE => SlotOutcome::Shed,
             status if status.is_server_error() => SlotOutcome::Abandoned,
@@ -211,20 +214,25 @@
         http_reply::set_header(&mut reply, call_headers::VERDICT, verdict);
         let warm = u8::from(grant.warm).to_string();
         http_reply::set_header(&mut reply, call_headers::WARM, &warm);
+        if let Some(notice) = notice {
+            let notice = notice.to_string();
+            http_reply::set_header(&mut reply, call_headers::NOTICE, &notice);
+        }
         Ok(reply)
     }
 
     /// Tells the gate what the server states in its answer, if that may differ from
-    /// what the gate knows.
+    /// what the gate knows. Returns a statement for the entry node, if the server
+    /// makes one and names its run.
     fn record_statement(
         &self,
         response: &HopResponse,
         grant: &SlotGrant,
         sent: BootInstant,
-    ) {
+    ) -> Option<ServerNotice> {
         let statement = self.dialect.server_statement(response.head.headers());
         if statement.is_empty() && !self.gate_status.is_limited() {
-            return;
+            return None;
         }
         // The gate task ends only with the node.
         let _ = self.gate.send(GateMessage::Answered(AnswerStatement {
@@ -232,6 +240,7 @@
             sent,
             statement,
         }));
+        ServerNotice::of(grant.run.clone()?, statement)
     }
 
     /// Returns the headers that the backend server gets with the call.
@@ -245,7 +254,7 @@
         let left_ms = left.as_millis().to_string();
         let mut added = vec![(dialect.deadline_ms.clone(), left_ms)];
         if let Some(run) = &grant.run {
-            added.push((dialect.server_run.clone(), run.to_string()));
+            added.push((dialect.server_run.clone(), run.name.to_string()));
         }
         if let Some(caller) = caller {
             added.push((dialect.caller_service.clone(), caller.to_owned()));
@@ -280,6 +289,7 @@
     async fn acquire_slot(
         &self,
         call: OfferedCall,
+        notice: Option<ServerNotice>,
     ) -> Result<(SlotGrant, SlotGuard), TryFailure> {
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
@@ -287,7 +297,7 @@
         // The gate task ends only with the node.
         let _ = self
             .gate
-            .send(GateMessage::AcquireSlot(ticket, call, reply));
+            .send(GateMessage::AcquireSlot(ticket, call, notice, reply));
         // Created before the wait, so that a caller that disconnects leaves the
         // queue.
         let slot = SlotGuard {
--- a/crates/node/src/statement_log.rs
+++ b/crates/node/src/statement_log.rs
@@ -5,6 +5,7 @@
 
 use log::info;
 
+use cowslip_core::server_run::ServerRun;
 use cowslip_core::server_statement::ServerStatement;
 use cowslip_core::server_statement::StatedRate;
 
@@ -44,7 +45,7 @@
     pub fn record(
         &mut self,
         now: Duration,
-        run: Option<&Arc<str>>,
+        run: Option<&ServerRun>,
         statement: ServerStatement,
         figures: GateFigures,
     ) {
@@ -61,7 +62,7 @@
         info!(
             "event=server-statement process=node instance={} run={} rate={} leaving={} in_flight={} waiting={} granted={}",
             self.instance,
-            run.map_or("-", |run| run),
+            run.map_or("-", |run| &run.name),
             rate_text(statement.rate),
             statement.leaving,
             figures.in_flight,
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -25,6 +25,7 @@
 use cowslip_node::gate_task::GateEndpoint;
 use cowslip_node::gate_task::GateMessage;
 use cowslip_node::gate_task::GateStatus;
+use cowslip_node::gate_task::ServerAnnouncement;
 use cowslip_node::holder_task;
 use cowslip_node::peer_handler::PeerHandler;
 use cowslip_node::peer_handler::PeerProxy;
@@ -82,7 +83,15 @@
     };
     let bounds = GateBounds::from([("records".into(), bounds)]);
     let (reply, _) = oneshot::channel();
-    let announce = GateMessage::Announce(announced, server, None, reply);
+    let announce = GateMessage::Announce(
+        ServerAnnouncement {
+            run: None,
+            server: announced,
+            address: server,
+            cold_remaining: None,
+        },
+        reply,
+    );
     gate.send(announce).unwrap();
     gate.send(GateMessage::Configure(GateConfig {
         bounds,
--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -97,6 +97,7 @@
     pub async fn announce(&self, node: SocketAddr, address: SocketAddr) {
         let body = AnnounceBody {
             cold_ms: None,
+            run: None,
             service: SERVICE.into(),
             version: VERSION.into(),
             address,
