Calls go to the run that announced itself after a leaving one

After a run that named itself in its announcement had stated that it is leaving, its successor on the same node got every call with the name of the run before, and refused it.

Cause: the statement was recorded among the runs that report periodically, which such a server does not do, and that record came before the announced run.

Change: the gate alone knows the run that calls are sent to, and that it is leaving.

The stand-in refuses requests that are meant for another of its runs.

--- a/crates/cli/src/stand_in.rs
+++ b/crates/cli/src/stand_in.rs
@@ -11,6 +11,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -43,6 +45,9 @@
 /// Number of first requests that take `cold_start_time` longer.
 const COLD_START_REQUESTS: u32 = 10;
 
+/// Number of stand-ins that this process has started.
+static RUNS: AtomicU64 = AtomicU64::new(0);
+
 /// Largest number of arrival times that are held.
 const ARRIVALS_MAX: usize = 65_536;
 
@@ -102,19 +107,23 @@
     pub fn spawn(config: StandInConfig) -> io::Result<Self> {
         let counts = Rc::new(StandInCounts::default());
         let chain = Rc::new(CallChain::default());
+        let began_ms = wall_clock::millis();
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let run = format!("{}-{began_ms}-{process}-{number}", config.instance);
+        let run = Arc::<str>::from(run);
         let handler = StandInHandler {
             config: Rc::new(config.clone()),
+            run: Arc::clone(&run),
             counts: Rc::clone(&counts),
             chain: Rc::clone(&chain),
         };
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener =
             HttpListener::bind(address, config.connections_max, Rc::new(handler))?;
-        let began_ms = wall_clock::millis();
-        let run = format!("{}-{began_ms}-{}", config.instance, listener.address());
         Ok(Self {
             listener,
-            run: run.into(),
+            run,
             config,
             counts,
             chain,
@@ -155,12 +164,18 @@
 
 struct StandInHandler {
     config: Rc<StandInConfig>,
+    run: Arc<str>,
     counts: Rc<StandInCounts>,
     chain: Rc<CallChain>,
 }
 
 impl HttpHandler for StandInHandler {
     fn handle(&self, request: Request) -> ReplyFuture {
+        if is_for_another_run(&request, &self.run) {
+            let status = StatusCode::MISDIRECTED_REQUEST;
+            let reply = http_reply::text(status, "another run of this server");
+            return Box::pin(async move { reply });
+        }
         let config = Rc::clone(&self.config);
         let counts = Rc::clone(&self.counts);
         let chain = Rc::clone(&self.chain);
@@ -218,6 +233,12 @@
     http_reply::with_content_type(StatusCode::OK, content_type, answer.freeze())
 }
 
+/// Returns whether the request is meant for a run other than `run`.
+fn is_for_another_run(request: &Request, run: &str) -> bool {
+    let meant_for = http_reply::header(request, call_headers::SERVER_RUN);
+    meant_for.is_some_and(|meant_for| meant_for != run)
+}
+
 /// Adds the headers of `statement` to an answer.
 fn add_statement(reply: &mut HttpReply, statement: ServerStatement) {
     if let StatedRate::CallsPerSecond(rate) = statement.rate {
--- a/crates/cli/tests/calls/stated_limits.rs
+++ b/crates/cli/tests/calls/stated_limits.rs
@@ -197,16 +197,7 @@
     actix_rt::System::new().block_on(async {
         let folder = tempfile::tempdir().expect("a folder");
         let mut fleet = fleet(folder.path()).await;
-        let leaving = StandIn::spawn(StandInConfig {
-            instance: "tested-1".into(),
-            service: "tested".into(),
-            version: "v1".into(),
-            slots: 4,
-            connections_max: CONNECTIONS_MAX,
-            work_time: Duration::from_millis(2),
-            cold_start_time: Duration::ZERO,
-        });
-        let leaving = leaving.expect("a server");
+        let leaving = tested_server();
         let beside = 3;
         let local = fleet.nodes[beside].node.local();
         leaving.announce(local).await.expect("the node answers");
@@ -232,6 +223,46 @@
     });
 }
 
+// Guards against a server that gets no calls because its node sends them to the run
+// before, which was leaving.
+#[test]
+fn the_next_run_of_a_leaving_server_gets_calls() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let fleet = fleet(folder.path()).await;
+        let node = &fleet.nodes[3].node;
+        let entry = fleet.nodes[0].node.callers();
+        let leaving = tested_server();
+        leaving
+            .announce(node.local())
+            .await
+            .expect("the node answers");
+        leaving.counts().statement.set(ServerStatement {
+            leaving: true,
+            ..ServerStatement::default()
+        });
+        call_until_answered(entry).await;
+        let next = tested_server();
+        next.announce(node.local()).await.expect("the node answers");
+        call_until_answered(entry).await;
+        assert!(next.counts().begun.get() > 0);
+    });
+}
+
+/// Starts a server of the service `tested`.
+fn tested_server() -> StandIn {
+    let server = StandIn::spawn(StandInConfig {
+        instance: "tested-1".into(),
+        service: "tested".into(),
+        version: "v1".into(),
+        slots: 4,
+        connections_max: CONNECTIONS_MAX,
+        work_time: Duration::from_millis(2),
+        cold_start_time: Duration::ZERO,
+    });
+    server.expect("a free port")
+}
+
 async fn call_tested(entry: SocketAddr) -> u16 {
     let call = CallRequest {
         path: "/tested/sale",
--- a/crates/core/src/server_runs.rs
+++ b/crates/core/src/server_runs.rs
@@ -126,11 +126,6 @@
         first
     }
 
-    /// Name of the latest known run.
-    pub fn run(&self) -> Option<&Arc<str>> {
-        self.latest.as_ref().map(|latest| &latest.run)
-    }
-
     /// The latest known run, with its start time if that is known.
     pub fn server_run(&self) -> Option<ServerRun> {
         let latest = self.latest.as_ref()?;
--- a/crates/core/tests/server_runs.rs
+++ b/crates/core/tests/server_runs.rs
@@ -1,5 +1,7 @@
 //! Reports of a backend server's runs that arrive in any order.
 
+use std::sync::Arc;
+
 use proptest::prelude::*;
 
 use cowslip_core::server_runs::ReportEffect;
@@ -15,6 +17,10 @@
     }
 }
 
+fn latest_name(runs: &ServerRuns) -> Option<Arc<str>> {
+    runs.server_run().map(|run| run.name)
+}
+
 // A server crashes behind a network partition and its next run registers.
 // Then a delayed report of the crashed run arrives. Guards against calls to a
 // run that no longer exists, based on its slots and version.
@@ -33,7 +39,7 @@
         runs.apply(report("i-1", 100, 9, false)),
         ReportEffect::Stale
     );
-    assert_eq!(runs.run().map(|run| &**run), Some("i-2"));
+    assert_eq!(latest_name(&runs).as_deref(), Some("i-2"));
 }
 
 // A server reports that it is leaving, and an earlier report arrives after
@@ -89,7 +95,7 @@
         ReportEffect::Begins
     );
     assert!(!runs.discover(&"i-0".into()));
-    assert_eq!(runs.run().map(|run| &**run), Some("i-1"));
+    assert_eq!(latest_name(&runs).as_deref(), Some("i-1"));
 }
 
 proptest! {
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -637,17 +637,10 @@
         );
     }
 
-    /// The run that calls are sent to, if the server names its runs.
-    fn current_run(&self) -> Option<ServerRun> {
-        let reported = self.runs.server_run();
-        reported.or_else(|| self.gate.run().cloned())
-    }
-
     /// Records what the server states in an answer, unless another run of it gave
     /// the answer.
     fn record_statement(&mut self, now: Duration, answer: &AnswerStatement) {
-        let current = self.current_run();
-        let given_by_current = match (&current, &answer.run) {
+        let given_by_current = match (self.gate.run(), &answer.run) {
             (Some(current), Some(run)) => current.may_be(run),
             (None, None) => true,
             _ => false,
@@ -661,15 +654,12 @@
             granted: self.granted,
         };
         self.statement_log
-            .record(now, current.as_ref(), answer.statement, figures);
+            .record(now, self.gate.run(), answer.statement, figures);
         let began_to_leave = answer.statement.leaving && !self.gate.is_leaving();
         let sent_at = answer.sent.saturating_duration_since(self.started);
         let actions = self.gate.record_statement(now, sent_at, answer.statement);
         self.apply(actions);
         if began_to_leave {
-            if let Some(run) = &answer.run {
-                self.runs.deregister(&run.name, None);
-            }
             self.presence.drain(now);
             self.withdraw("leaving");
         }
@@ -695,7 +685,7 @@
         Ok(SlotGrant {
             server,
             warm: self.cold_start.record_call(),
-            run: self.current_run(),
+            run: self.gate.run().cloned(),
             counts_sends: self.gate.counts_sends(),
         })
     }
