Soak: backend servers state limits and that they are leaving

The checks follow the users' rules (4 s, half as many again and five, half a second after an entry node has passed the statement on; two seconds for a leaving server), by request ID and entry node; a restart or pause of the entry node excuses it. Every other seed probes for slots as the users' platform does. invariants.rs breaks each and sees it found.

Seeds bring other faults than before.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -16,7 +16,10 @@
 use awc::Client;
 use rand::Rng;
 
+use cowslip_node::call_headers::LEAVING;
+use cowslip_node::call_headers::RATE_LIMIT;
 use cowslip_node::call_headers::REQUEST_ID;
+use cowslip_node::call_headers::SERVER_RUN;
 use cowslip_node::local_handler::AnnounceBody;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
@@ -25,6 +28,9 @@
 use cowslip_wire::http_reply::HttpReply;
 
 use crate::observations::Observations;
+use crate::observations::ServerArrival;
+use crate::observations::StatementKind;
+use crate::observations::StatementSpan;
 
 /// Service of all backend servers.
 pub const SERVICE: &str = "records";
@@ -32,6 +38,10 @@
 /// Version of all backend servers.
 pub const VERSION: &str = "v1";
 
+/// Header of an answer with the indexes of the statement spans it belongs to,
+/// separated by commas.
+pub const STATEMENTS_HEADER: &str = "soak-statements";
+
 /// Slots of each server, far more than the callers use.
 const SLOTS: u32 = 50;
 
@@ -66,6 +76,12 @@
     started: Instant,
     observations: Rc<RefCell<Observations>>,
     drained_at: Cell<Option<Duration>>,
+    /// Number of the current run.
+    run: Cell<u32>,
+    /// Index of the span in which the server states a limit.
+    limit_span: Cell<Option<usize>>,
+    /// Index of the span in which the server states that it is leaving.
+    leaving_span: Cell<Option<usize>>,
 }
 
 impl RecordingServer {
@@ -81,6 +97,9 @@
             started,
             observations,
             drained_at: Cell::new(None),
+            run: Cell::new(0),
+            limit_span: Cell::new(None),
+            leaving_span: Cell::new(None),
         });
         let handler = Rc::new(RecordingHandler(Rc::clone(&state)));
         let listener = HttpListener::bind(listen, CONNECTIONS_MAX, handler)?;
@@ -95,22 +114,22 @@
     /// Announces the server at `address` to its node, and retries until the node
     /// accepts it.
     pub async fn announce(&self, node: SocketAddr, address: SocketAddr) {
-        let body = AnnounceBody {
-            cold_ms: None,
-            run: None,
-            service: SERVICE.into(),
-            version: VERSION.into(),
-            address,
-            slots: SLOTS,
-        };
-        let body = serde_json::to_vec(&body).unwrap_or_default();
         let client = Client::builder().timeout(NODE_TIMEOUT).finish();
         loop {
+            let body = AnnounceBody {
+                cold_ms: None,
+                run: Some(self.state.run_name()),
+                service: SERVICE.into(),
+                version: VERSION.into(),
+                address,
+                slots: SLOTS,
+            };
+            let body = serde_json::to_vec(&body).unwrap_or_default();
             // Requests may arrive as soon as the node has read the announcement,
             // before its answer.
             self.state.drained_at.set(None);
             let sent = client.post(format!("http://{node}/announce"));
-            let answer = sent.send_body(body.clone()).await;
+            let answer = sent.send_body(body).await;
             if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
                 return;
             }
@@ -118,6 +137,25 @@
         }
     }
 
+    /// Starts or ends a time in which the server states a limit.
+    pub fn state_limit(&self, calls_per_second: Option<f64>) {
+        let kind = calls_per_second.map(StatementKind::CallsPerSecond);
+        self.state.change_span(&self.state.limit_span, kind);
+    }
+
+    /// States from now on that the server is leaving.
+    pub fn state_leaving(&self) {
+        let kind = Some(StatementKind::Leaving);
+        self.state.change_span(&self.state.leaving_span, kind);
+    }
+
+    /// Ends the run of the server and begins another, which states nothing.
+    pub fn begin_run(&self) {
+        self.state.run.set(self.state.run.get() + 1);
+        self.state.change_span(&self.state.limit_span, None);
+        self.state.change_span(&self.state.leaving_span, None);
+    }
+
     /// Asks the node to drain the server; returns whether the node accepted.
     pub async fn drain(&self, node: SocketAddr) -> bool {
         let client = Client::builder().timeout(NODE_TIMEOUT).finish();
@@ -146,6 +184,11 @@
     let id: Arc<str> = http_reply::header(&request, REQUEST_ID)
         .unwrap_or_default()
         .into();
+    let run = http_reply::header(&request, SERVER_RUN);
+    if run.is_some_and(|run| *run != *state.run_name()) {
+        let status = StatusCode::MISDIRECTED_REQUEST;
+        return http_reply::text(status, "another run of this server");
+    }
     state.record_request(&id);
     let body = match http_reply::read_body(&mut request, BODY_BYTES_MAX).await {
         Ok(body) => body,
@@ -161,15 +204,62 @@
         let name = HeaderName::from_static(REQUEST_ID);
         reply.head_mut().headers_mut().insert(name, echoed);
     }
+    state.add_statements(&mut reply);
     reply
 }
 
 impl ServerState {
+    fn run_name(&self) -> Arc<str> {
+        format!("server-{}-run-{}", self.number, self.run.get()).into()
+    }
+
+    /// Ends the span in `current`, and begins one of `kind` if there is one.
+    fn change_span(&self, current: &Cell<Option<usize>>, kind: Option<StatementKind>) {
+        let now = self.started.elapsed();
+        let spans = &mut self.observations.borrow_mut().statements;
+        if let Some(ended) = current.get() {
+            spans[ended].until = Some(now);
+        }
+        current.set(kind.map(|kind| {
+            spans.push(StatementSpan {
+                server: self.number,
+                kind,
+                from: now,
+                until: None,
+            });
+            spans.len() - 1
+        }));
+    }
+
+    /// Adds the headers of what the server states now to an answer.
+    fn add_statements(&self, reply: &mut HttpReply) {
+        let mut indexes = Vec::new();
+        if let Some(at) = self.limit_span.get() {
+            let kind = self.observations.borrow().statements[at].kind;
+            if let StatementKind::CallsPerSecond(rate) = kind {
+                http_reply::set_header(reply, RATE_LIMIT, &rate.to_string());
+                indexes.push(at.to_string());
+            }
+        }
+        if let Some(at) = self.leaving_span.get() {
+            http_reply::set_header(reply, LEAVING, "1");
+            indexes.push(at.to_string());
+        }
+        if !indexes.is_empty() {
+            http_reply::set_header(reply, STATEMENTS_HEADER, &indexes.join(","));
+        }
+    }
+
     fn record_request(&self, id: &Arc<str>) {
         let now = self.started.elapsed();
         let mut observations = self.observations.borrow_mut();
         let executions = observations.executions.entry(Arc::clone(id));
         executions.or_default().push(now);
+        observations.arrivals.push(ServerArrival {
+            server: self.number,
+            id: Arc::clone(id),
+            at: now,
+        });
         let drained_at = self.drained_at.get();
         if drained_at.is_some_and(|at| now > at + DRAIN_GRACE) {
             let late_request = (self.number, Arc::clone(id), now);
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -17,6 +17,7 @@
 
 use cowslip_node::call_headers;
 
+use crate::backend::STATEMENTS_HEADER;
 use crate::observations::CallOutcome;
 use crate::observations::Observations;
 use crate::observations::SentCall;
@@ -58,7 +59,7 @@
     while !context.finished.get() {
         let call = draw_call(&context, &mut random);
         let sent = context.started.elapsed();
-        let outcome = send(&client, &context, &call).await;
+        let answer = send(&client, &context, &call).await;
         context.observations.borrow_mut().calls.push(SentCall {
             id: call.id,
             node: call.node,
@@ -66,7 +67,8 @@
             probe: call.probe,
             sent,
             ended: context.started.elapsed(),
-            outcome,
+            outcome: answer.outcome,
+            statements: answer.statements,
         });
         let pause = random.random_range(1..PAUSE_MS_MAX);
         actix_rt::time::sleep(Duration::from_millis(pause)).await;
@@ -96,7 +98,26 @@
     }
 }
 
-async fn send(client: &Client, context: &CallerContext, call: &DrawnCall) -> CallOutcome {
+/// What a caller observed of the answer to a request.
+struct ObservedAnswer {
+    outcome: CallOutcome,
+    statements: Vec<usize>,
+}
+
+impl From<CallOutcome> for ObservedAnswer {
+    fn from(outcome: CallOutcome) -> Self {
+        Self {
+            outcome,
+            statements: Vec::new(),
+        }
+    }
+}
+
+async fn send(
+    client: &Client,
+    context: &CallerContext,
+    call: &DrawnCall,
+) -> ObservedAnswer {
     let node = context.nodes[call.node];
     let url = match call.probe {
         Some(route) => format!("http://{node}/route-{route}"),
@@ -122,14 +143,20 @@
                 headers: response.headers().clone(),
             };
             let answer_body = response.body().await.ok();
-            classify(
+            let outcome = classify(
                 &answer,
                 answer_body.as_deref(),
                 &format!("{} {body}\n", call.id),
-            )
+            );
+            let statements = answer.text(STATEMENTS_HEADER);
+            let statements = statements.split(',');
+            ObservedAnswer {
+                outcome,
+                statements: statements.flat_map(str::parse).collect(),
+            }
         }
-        Err(SendRequestError::Connect(_)) => CallOutcome::NoConnection,
-        Err(_) => CallOutcome::NoAnswer,
+        Err(SendRequestError::Connect(_)) => CallOutcome::NoConnection.into(),
+        Err(_) => CallOutcome::NoAnswer.into(),
     }
 }
 
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -76,6 +76,11 @@
     Link(Link, LinkMode, Duration),
     /// Drains a backend server and announces it again.
     Drain(usize, Duration),
+    /// Makes a backend server state how many calls it takes in ten seconds.
+    Limit(usize, u32, Duration),
+    /// Makes a backend server state that it is leaving, and replaces it with
+    /// another run.
+    Leave(usize, Duration),
     /// Kills all processes at once and restarts them.
     KillAll(Duration),
 }
@@ -99,6 +104,8 @@
             | Self::TornWrite(_, time)
             | Self::Link(_, _, time)
             | Self::Drain(_, time)
+            | Self::Limit(_, _, time)
+            | Self::Leave(_, time)
             | Self::Wipe(_, time)
             | Self::Replace(_, time)
             | Self::KillAll(time) => *time,
@@ -168,7 +175,7 @@
     } else {
         ProcessId::Node(node)
     };
-    match random.random_range(0..25) {
+    match random.random_range(0..32) {
         0..=3 => Fault::Pause(id, duration),
         4..=6 => Fault::Kill(id, duration),
         7 => Fault::TornWrite(control, duration),
@@ -180,10 +187,20 @@
         19 => Fault::Wipe(control, duration),
         20..=22 => Fault::Replace(control, duration),
         23 => Fault::ReplaceAndKillAll(control, duration),
+        24..=28 => {
+            let calls = random.random_range(2..150);
+            Fault::Limit(node, calls, draw_statement_time(random))
+        }
+        29..=30 => Fault::Leave(node, draw_statement_time(random)),
         _ => Fault::KillAll(duration),
     }
 }
 
+/// Statements last longer than other faults, so that faults of nodes fall into them.
+fn draw_statement_time(random: &mut SmallRng) -> Duration {
+    Duration::from_millis(random.random_range(3_000..9_000))
+}
+
 fn draw_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..4) {
         0 => LinkMode::Delay(Duration::from_millis(random.random_range(20..400))),
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -10,6 +10,7 @@
 use crate::observations::CallOutcome;
 use crate::observations::Observations;
 use crate::observations::SentCall;
+use crate::statement_checks;
 
 /// Time within which an accepted change must be in force at every node that no
 /// fault affects.
@@ -48,6 +49,7 @@
     check_voters(observations, &mut violations);
     check_stops(observations, &mut violations);
     check_drains(observations, &mut violations);
+    check_statements(observations, &mut violations);
     check_recovery(observations, end, &mut violations);
     violations.0
 }
@@ -182,6 +184,15 @@
     }
 }
 
+fn check_statements(observations: &Observations, violations: &mut ViolationList) {
+    for details in statement_checks::exceeded_limits(observations) {
+        violations.push("a server gets no more calls than it states", details);
+    }
+    for details in statement_checks::calls_to_leaving_servers(observations) {
+        violations.push("a leaving server gets no new calls", details);
+    }
+}
+
 fn check_recovery(
     observations: &Observations,
     end: Duration,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod proxy;
 pub mod soak_error;
 pub mod soak_run;
+pub mod statement_checks;
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -46,6 +46,52 @@
     pub ended: Duration,
     /// Outcome as the caller observed it.
     pub outcome: CallOutcome,
+    /// Indexes of the statement spans that the answer's headers name.
+    pub statements: Vec<usize>,
+}
+
+/// What a backend server states in its answers for some time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StatementKind {
+    /// It takes this many calls a second from all nodes together.
+    CallsPerSecond(f64),
+    /// It is leaving.
+    Leaving,
+}
+
+/// A time in which a backend server states something.
+#[derive(Clone, Copy, Debug)]
+pub struct StatementSpan {
+    /// Index of the server.
+    pub server: usize,
+    /// What it states.
+    pub kind: StatementKind,
+    /// Start of the time.
+    pub from: Duration,
+    /// End of the time; `None` if it lasts.
+    pub until: Option<Duration>,
+}
+
+/// A request that reached a backend server and was not refused by it.
+#[derive(Clone, Debug)]
+pub struct ServerArrival {
+    /// Index of the server.
+    pub server: usize,
+    /// Request ID.
+    pub id: Arc<str>,
+    /// Time at which it arrived.
+    pub at: Duration,
+}
+
+/// A time in which a node was paused.
+#[derive(Clone, Copy, Debug)]
+pub struct NodePause {
+    /// Index of the node.
+    pub node: usize,
+    /// Start of the pause.
+    pub from: Duration,
+    /// End of the pause.
+    pub until: Duration,
 }
 
 /// A change that a control instance answered as accepted.
@@ -92,6 +138,12 @@
     /// and before it announced itself again: index of the server, request ID
     /// and time.
     pub after_drain: Vec<(usize, Arc<str>, Duration)>,
+    /// Requests that reached a backend server, in order of arrival.
+    pub arrivals: Vec<ServerArrival>,
+    /// Times in which backend servers stated something.
+    pub statements: Vec<StatementSpan>,
+    /// Times in which nodes were paused.
+    pub pauses: Vec<NodePause>,
     /// Changes answered as accepted.
     pub accepted: Vec<AcceptedRoute>,
     /// Numbers of the routes in the document that was read at the end.
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -18,6 +18,7 @@
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::RouteSpec;
 use cowslip_core::document::ServiceSpec;
+use cowslip_core::tuning::TuningKey;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::agreement_messages::MembersCall;
 use cowslip_wire::messages::ShowCall;
@@ -39,6 +40,8 @@
     pub key: AccessKey,
     /// Highest route number in an accepted document.
     pub routes: Rc<Cell<u64>>,
+    /// Fleet default for the slots that a call is offered before it waits.
+    pub slot_probes: u64,
     /// Set once no more changes are to be sent.
     pub finished: Rc<Cell<bool>>,
     /// Start of the run, from which all times count.
@@ -60,7 +63,7 @@
     while !context.finished.get() {
         let client = context.client();
         let route = context.routes.get() + 1;
-        let change = ConfigChange::Apply(document(route));
+        let change = ConfigChange::Apply(document(route, context.slot_probes));
         if client.change(new_request_id(), None, change).await.is_ok() {
             context.routes.set(route);
             let at = context.started.elapsed();
@@ -90,7 +93,7 @@
 }
 
 /// Returns a document with the work path and routes 1 to `last`.
-pub fn document(last: u64) -> FleetDocument {
+pub fn document(last: u64, slot_probes: u64) -> FleetDocument {
     let spec = ServiceSpec {
         version: VERSION.into(),
         ..ServiceSpec::default()
@@ -99,11 +102,13 @@
     for number in 1..=last {
         routes.push(route(format!("/route-{number}")));
     }
-    FleetDocument {
+    let mut document = FleetDocument {
         services: BTreeMap::from([(SERVICE.into(), spec)]),
         routes,
         ..FleetDocument::default()
-    }
+    };
+    document.defaults.set(TuningKey::SlotProbes, slot_probes);
+    document
 }
 
 fn route(path: String) -> Arc<RouteSpec> {
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -33,6 +33,7 @@
 use crate::invariants::RECOVERY_WINDOW;
 use crate::observations::CallOutcome;
 use crate::observations::Disruption;
+use crate::observations::NodePause;
 use crate::observations::Observations;
 use crate::observations::PlannedStop;
 use crate::operator;
@@ -53,6 +54,12 @@
 /// Time without faults at the end, in which the fleet must recover.
 const SETTLE_TIME: Duration = Duration::from_secs(9);
 
+/// Time to which the calls of [`Fault::Limit`] refer.
+const LIMIT_CALLS_TIME: Duration = Duration::from_secs(10);
+
+/// Slots that calls are offered before they wait, in every other seed.
+const SLOT_PROBES: u64 = 3;
+
 /// Interval at which processes and conditions are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -100,7 +107,7 @@
         stop_requested: RefCell::default(),
     });
     let finished = Rc::new(Cell::new(false));
-    let operator = run.operator(&finished);
+    let operator = run.operator(seed, &finished);
     let operator_task = actix_rt::spawn(operator::run_operator(Rc::clone(&operator)));
     run.wait_until_ready(&operator).await?;
     run.fleet.write_control_settings()?;
@@ -155,8 +162,9 @@
 }
 
 impl SoakRun {
-    fn operator(&self, finished: &Rc<Cell<bool>>) -> Rc<OperatorContext> {
+    fn operator(&self, seed: u64, finished: &Rc<Cell<bool>>) -> Rc<OperatorContext> {
         Rc::new(OperatorContext {
+            slot_probes: seed % 2 * SLOT_PROBES,
             controls: Rc::clone(&self.fleet.controls),
             key: AccessKey::new(OPERATOR_KEY),
             routes: Rc::new(Cell::new(0)),
@@ -256,6 +264,7 @@
                 self.signal(id, Signal::SIGSTOP)?;
                 actix_rt::time::sleep(time).await;
                 self.signal(id, Signal::SIGCONT)?;
+                self.record_pause(id, from);
             }
             Fault::Kill(id, time) => self.kill(id, time, |_| Ok(())).await?,
             Fault::TornWrite(at, time) => {
@@ -286,6 +295,20 @@
                 self.fleet.announce(at).await;
                 return Ok(());
             }
+            Fault::Limit(at, calls, time) => {
+                let rate = f64::from(calls) / LIMIT_CALLS_TIME.as_secs_f64();
+                self.fleet.servers[at].state_limit(Some(rate));
+                actix_rt::time::sleep(time).await;
+                self.fleet.servers[at].state_limit(None);
+                return Ok(());
+            }
+            Fault::Leave(at, time) => {
+                self.fleet.servers[at].state_leaving();
+                actix_rt::time::sleep(time).await;
+                self.fleet.servers[at].begin_run();
+                self.fleet.announce(at).await;
+                return Ok(());
+            }
             Fault::KillAll(time) => self.kill_all(time).await?,
         }
         self.record_disruption(disrupted_node(fault), from);
@@ -383,6 +406,15 @@
         Ok(())
     }
 
+    fn record_pause(&self, id: ProcessId, from: Duration) {
+        let Some(node) = node_index(id) else {
+            return;
+        };
+        let until = self.started.elapsed();
+        let pause = NodePause { node, from, until };
+        self.observations.borrow_mut().pauses.push(pause);
+    }
+
     fn record_disruption(&self, node: Option<usize>, from: Duration) {
         let until = self.started.elapsed() + RECOVERY_TIME;
         let disruption = Disruption { node, from, until };
--- a/soak/tests/invariants.rs
+++ b/soak/tests/invariants.rs
@@ -6,9 +6,14 @@
 use cowslip_soak::observations::AcceptedRoute;
 use cowslip_soak::observations::CallOutcome;
 use cowslip_soak::observations::Disruption;
+use cowslip_soak::observations::NodePause;
 use cowslip_soak::observations::Observations;
 use cowslip_soak::observations::PlannedStop;
 use cowslip_soak::observations::SentCall;
+use cowslip_soak::observations::ServerArrival;
+use cowslip_soak::observations::StatementKind;
+use cowslip_soak::observations::StatementSpan;
+use cowslip_soak::statement_checks;
 
 const END: Duration = Duration::from_secs(60);
 
@@ -25,6 +30,7 @@
         sent: secs(sent),
         ended: secs(sent + 1),
         outcome,
+        statements: Vec::new(),
     }
 }
 
@@ -184,3 +190,82 @@
     let invariant = ["a planned stop succeeds in time"];
     assert_eq!(violations(vec![], stop(false)), invariant);
 }
+
+/// Observations of a server that states `kind` from the 10th second on, and of node 1,
+/// which passed that on at 11 s.
+fn stated(kind: StatementKind) -> Observations {
+    let mut informing = call("told", 10, None, CallOutcome::Answered(true));
+    informing.statements = vec![0];
+    Observations {
+        calls: vec![informing],
+        statements: vec![StatementSpan {
+            server: 2,
+            kind,
+            from: secs(10),
+            until: Some(secs(40)),
+        }],
+        ..Observations::default()
+    }
+}
+
+/// Adds a request that node 1 accepted at `sent` and that reached server 2 at `at`.
+fn add_arrival(observations: &mut Observations, sent: Duration, at: Duration) {
+    let id = format!("request-{}", observations.arrivals.len());
+    let mut arrived = call(&id, 0, None, CallOutcome::Answered(true));
+    arrived.sent = sent;
+    arrived.ended = at;
+    observations.calls.push(arrived);
+    observations.arrivals.push(ServerArrival {
+        server: 2,
+        id: id.as_str().into(),
+        at,
+    });
+}
+
+#[test]
+fn an_exceeded_limit_is_found_unless_the_entry_node_restarted() {
+    let arrivals = |count: u64| {
+        let mut observations = stated(StatementKind::CallsPerSecond(1.0));
+        for number in 0..count {
+            let at = secs(20) + Duration::from_millis(number * 100);
+            add_arrival(&mut observations, at, at);
+        }
+        observations
+    };
+    // Four seconds at one a second, half as many again, and five.
+    let exceeded = |observations: &Observations| {
+        !statement_checks::exceeded_limits(observations).is_empty()
+    };
+    assert!(!exceeded(&arrivals(11)));
+    assert!(exceeded(&arrivals(12)));
+    let mut restarted = arrivals(12);
+    restarted.starts.push((1, secs(15)));
+    assert!(!exceeded(&restarted));
+    let mut paused = arrivals(12);
+    paused.pauses.push(NodePause {
+        node: 1,
+        from: secs(12),
+        until: secs(13),
+    });
+    assert!(!exceeded(&paused));
+}
+
+#[test]
+fn a_call_to_a_leaving_server_is_found_unless_it_was_sent_early() {
+    let arrival = |sent: Duration| {
+        let mut observations = stated(StatementKind::Leaving);
+        add_arrival(&mut observations, sent, secs(15));
+        observations
+    };
+    let found = |observations: &Observations| {
+        !statement_checks::calls_to_leaving_servers(observations).is_empty()
+    };
+    assert!(!found(&arrival(secs(13))));
+    assert!(found(&arrival(secs(14))));
+    let mut restarted = arrival(secs(14));
+    restarted.starts.push((1, secs(14)));
+    assert!(!found(&restarted));
+    let mut ended = arrival(secs(14));
+    ended.statements[0].until = Some(secs(14));
+    assert!(!found(&ended));
+}
