--- a/crates/cli/src/bin/cowslip-stand-in.rs
+++ b/crates/cli/src/bin/cowslip-stand-in.rs
@@ -9,6 +9,8 @@
 use cowslip_cli::stand_in::StandIn;
 use cowslip_cli::stand_in::StandInConfig;
 use cowslip_cli::stand_in::CONNECTIONS_MAX;
+use cowslip_core::server_statement::ServerStatement;
+use cowslip_core::server_statement::StatedRate;
 use cowslip_wire::command_args;
 use cowslip_wire::process_log;
 use cowslip_wire::stop_signal;
@@ -40,6 +42,12 @@
     /// Extra processing time of each of the first requests
     #[bpaf(argument("MS"), fallback(0))]
     cold_ms: u64,
+    /// Requests a second that it states in its answers to take; none if absent
+    #[bpaf(argument("RATE"))]
+    rate_limit: Option<f64>,
+    /// Seconds after which it states in its answers that it is leaving
+    #[bpaf(argument("SECONDS"))]
+    leaving_after: Option<u64>,
 }
 
 fn main() {
@@ -61,7 +69,26 @@
         work_time: Duration::from_millis(args.work_ms),
         cold_start_time: Duration::from_millis(args.cold_ms),
     })?;
+    let statement = &server.counts().statement;
+    let rate = args.rate_limit.map_or(StatedRate::Unlimited, |rate| {
+        StatedRate::CallsPerSecond(rate.max(0.0))
+    });
+    statement.set(ServerStatement {
+        rate,
+        leaving: false,
+    });
     server.announce(args.node).await?;
     println!("{}", server.address());
+    if let Some(seconds) = args.leaving_after {
+        let leaving_after = Duration::from_secs(seconds);
+        tokio::select! {
+            stopped = stop_signal::wait() => return stopped,
+            () = actix_rt::time::sleep(leaving_after) => {}
+        }
+        statement.set(ServerStatement {
+            rate,
+            leaving: true,
+        });
+    }
     stop_signal::wait().await
 }
--- a/crates/node/src/gate_metrics.rs
+++ b/crates/node/src/gate_metrics.rs
@@ -1,16 +1,21 @@
-//! Counters of the backend server's runs.
+//! Counters of the backend server's runs and statements.
 
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 use cowslip_wire::registered_metric;
 
-/// Counters of the backend server's runs, by how they ended.
+const SECONDS_PER_MINUTE: f64 = 60.0;
+
+/// Counters of the backend server's runs, by how they ended, and of what it states.
 #[derive(Clone, Default)]
 pub struct GateMetrics {
     runs: Counter,
     crashes: Counter,
     cold_crashes: Counter,
+    stated_limits: Counter,
+    stated_per_minute: Gauge,
 }
 
 impl GateMetrics {
@@ -33,6 +38,16 @@
                 "cold_crashes",
                 "Runs that ended without notice while the backend server was cold",
             ),
+            stated_limits: registered_metric::counter(
+                registry,
+                "stated_limits",
+                "Limits on calls a second that the backend server began to state",
+            ),
+            stated_per_minute: registered_metric::gauge(
+                registry,
+                "stated_per_minute",
+                "Calls a minute that the backend server states, zero if it states none",
+            ),
         }
     }
 
@@ -41,6 +56,16 @@
         self.runs.inc();
     }
 
+    /// Records the limit that the server states, in calls a second; `None` if it
+    /// states none.
+    pub(crate) fn set_stated_rate(&self, rate: Option<f64>) {
+        let per_minute = rate.map_or(0, |rate| (rate * SECONDS_PER_MINUTE).ceil() as i64);
+        if per_minute > 0 && self.stated_per_minute.get() == 0 {
+            self.stated_limits.inc();
+        }
+        self.stated_per_minute.set(per_minute);
+    }
+
     /// Counts a run that ended without notice; `cold` if the server was cold.
     pub(crate) fn crashed(&self, cold: bool) {
         self.crashes.inc();
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -114,6 +114,8 @@
     pub address: SocketAddr,
     /// How much longer the server stays cold, if the health page says so.
     pub cold_remaining: Option<Duration>,
+    /// What the server states with the health page.
+    pub statement: ServerStatement,
 }
 
 /// Result of an announcement.
@@ -314,7 +316,9 @@
             let now = self.started.elapsed();
             self.status.expected_wait.set(self.gate.expected_wait(now));
             self.status.repeat_probability.set(self.gate.repeats());
-            self.status.limited.set(self.gate.stated_rate().is_some());
+            let stated_rate = self.gate.stated_rate();
+            self.status.limited.set(stated_rate.is_some());
+            self.metrics.set_stated_rate(stated_rate);
             self.log_cold(now);
         }
     }
@@ -340,8 +344,13 @@
                         server,
                         address,
                         cold_remaining,
+                        statement,
                     } = found;
                     self.begin_run(now, &run, server, address, cold_remaining);
+                    // A health page without a statement says nothing about answers.
+                    if !statement.is_empty() {
+                        self.apply_statement(now, now, statement);
+                    }
                 }
             }
             GateMessage::DeregisterRun(run, started_ms, reply) => {
@@ -648,16 +657,25 @@
         if !given_by_current {
             return;
         }
+        let sent_at = answer.sent.saturating_duration_since(self.started);
+        self.apply_statement(now, sent_at, answer.statement);
+    }
+
+    fn apply_statement(
+        &mut self,
+        now: Duration,
+        sent_at: Duration,
+        statement: ServerStatement,
+    ) {
         let figures = GateFigures {
             in_flight: self.gate.in_flight(),
             waiting: self.gate.waiting(),
             granted: self.granted,
         };
         self.statement_log
-            .record(now, self.gate.run(), answer.statement, figures);
-        let began_to_leave = answer.statement.leaving && !self.gate.is_leaving();
-        let sent_at = answer.sent.saturating_duration_since(self.started);
-        let actions = self.gate.record_statement(now, sent_at, answer.statement);
+            .record(now, self.gate.run(), statement, figures);
+        let began_to_leave = statement.leaving && !self.gate.is_leaving();
+        let actions = self.gate.record_statement(now, sent_at, statement);
         self.apply(actions);
         if began_to_leave {
             self.presence.drain(now);
--- a/crates/node/src/server_check.rs
+++ b/crates/node/src/server_check.rs
@@ -147,12 +147,14 @@
     let run = headers.get(&dialect.health_page_run)?;
     let run = Arc::from(run.to_str().ok()?);
     let cold_remaining = cold_remaining(headers, dialect);
+    let statement = dialect.server_statement(headers);
     response.body.buffer(PAGE_BYTES_MAX).await.ok()?;
     Some(FoundRun {
         run,
         server: check.server,
         address: check.address,
         cold_remaining,
+        statement,
     })
 }
 
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -29,6 +29,13 @@
     run_seed(1, 8);
 }
 
+// Guards against limits and departures that servers state and that are forgotten
+// while nodes are killed, paused and restarted.
+#[test]
+fn a_run_with_stated_limits_violates_no_invariant() {
+    run_seed(5111, 20);
+}
+
 // A seed must always give the same faults, or a failed run could not be repeated.
 // Only one control instance may be down at a time, or acknowledged changes could
 // be lost.
