--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod report_aggregator;
 pub mod rollout;
 pub mod route_table;
+pub mod run_statements;
 pub mod server_gate;
 pub mod server_notice;
 pub mod server_presence;
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -22,15 +22,12 @@
 use crate::load::queue_order::StandingQueue;
 use crate::load::repeat_probability::RepeatProbability;
 use crate::load::service_times::ServiceTimes;
-use crate::load::stated_limit::StatedLimit;
 use crate::load::timely_queue::TimelyQueue;
 use crate::outbound_calls::OutboundCalls;
 use crate::outbound_calls::OutboundMark;
 use crate::refusal::RefusalReason;
-use crate::server_notice::ServerNotice;
-use crate::server_run::ServerRun;
+use crate::run_statements::RunStatements;
 use crate::server_statement::ServerStatement;
-use crate::server_statement::StatedRate;
 use crate::tuning::TuningKey;
 
 /// Divisor of the slots that gives the number reserved for short jobs, rounded
@@ -150,19 +147,13 @@
 pub struct ServerGate {
     announced: Option<AnnouncedServer>,
     draining: bool,
-    /// True if the run of the server has stated that it is leaving.
-    leaving: bool,
     evacuated: bool,
     /// True once the configuration in force is known.
     configured: bool,
     bounds: QueueBounds,
     limit: ConcurrencyLimit,
     cold: ColdLimit,
-    /// Run of the server, if it names its runs.
-    run: Option<ServerRun>,
-    stated: StatedLimit,
-    /// True once the run has answered a call of this process.
-    answered: bool,
+    statements: RunStatements,
     times: ServiceTimes,
     running: HashMap<CallTicket, RunningCall>,
     running_long: u32,
@@ -184,15 +175,12 @@
         Self {
             announced: None,
             draining: false,
-            leaving: false,
             evacuated: false,
             configured: false,
             bounds: QueueBounds::default(),
             limit: ConcurrencyLimit::new(0),
             cold: ColdLimit::default(),
-            run: None,
-            stated: StatedLimit::default(),
-            answered: false,
+            statements: RunStatements::default(),
             times: ServiceTimes::default(),
             running: HashMap::new(),
             running_long: 0,
@@ -236,91 +224,45 @@
         &mut self.cold
     }
 
-    /// Records which run of the server is sent calls from now on; `None` if the
-    /// server does not name its runs. What another run has stated no longer counts.
-    pub fn begin_run(&mut self, run: Option<ServerRun>) {
-        let continues = match (&self.run, &run) {
-            (Some(current), Some(next)) => current.may_be(next),
-            _ => false,
-        };
-        if !continues {
-            self.stated = StatedLimit::default();
-            self.leaving = false;
-            self.answered = false;
-        }
-        self.run = run;
+    /// What the current run of the server states.
+    pub fn statements(&self) -> &RunStatements {
+        &self.statements
     }
 
-    /// Run of the server that is sent calls, if the server names its runs.
-    pub fn run(&self) -> Option<&ServerRun> {
-        self.run.as_ref()
+    /// What the current run of the server states, to record its runs and what entry
+    /// nodes heard.
+    pub fn statements_mut(&mut self) -> &mut RunStatements {
+        &mut self.statements
     }
 
     /// Applies what the server stated in an answer that arrived at `now` to a
-    /// request that was sent at `sent_at`.
+    /// request that was sent at `sent_at`. Queued calls may be started or refused.
     pub fn record_statement(
         &mut self,
         now: Duration,
         sent_at: Duration,
         statement: ServerStatement,
     ) -> Vec<GateAction> {
-        if statement.leaving {
-            self.leaving = true;
+        self.statements.record(now, sent_at, statement);
+        if self.statements.is_leaving() {
             return self.refuse_queued(RefusalReason::Draining);
         }
-        self.answered = true;
-        self.stated.record(now, sent_at, statement.rate);
         let mut actions = Vec::new();
         self.start_waiting(now, &mut actions);
         self.evict_excess(now, &mut actions);
         actions
     }
 
-    /// Applies what an entry node heard the server state, before a call of that
-    /// entry node. A limit counts only until the server has answered a call of this
-    /// process; of several limits the lowest counts, since which is the latest is
-    /// not known.
-    ///
-    /// # Errors
-    ///
-    /// Refuses the call if the entry node heard that the current run is leaving.
-    pub fn apply_notice(
-        &mut self,
-        now: Duration,
-        notice: &ServerNotice,
-    ) -> Result<(), RefusalReason> {
-        let current = self.run.as_ref();
-        if !current.is_some_and(|run| run.may_be(&notice.run)) {
-            return Ok(());
-        }
-        if notice.statement.leaving {
-            return Err(RefusalReason::Draining);
-        }
-        if let (StatedRate::CallsPerSecond(rate), false) =
-            (notice.statement.rate, self.answered)
-        {
-            let lowest = self.stated.rate().map_or(rate, |known| known.min(rate));
-            let lowest = StatedRate::CallsPerSecond(lowest);
-            self.stated.record(now, now, lowest);
-        }
-        Ok(())
-    }
-
-    /// Calls a second that the server says it takes; `None` if it states no limit.
-    pub fn stated_rate(&self) -> Option<f64> {
-        self.stated.rate()
-    }
-
     /// Whether the gate must be told when a call has been sent.
     pub fn counts_sends(&self) -> bool {
-        self.cold.has_rule() || self.stated.rate().is_some()
+        self.cold.has_rule() || self.statements.limit().rate().is_some()
     }
 
     /// Records that a call that holds a slot was sent, or may have been sent, by
     /// `now`.
     pub fn record_sent(&mut self, now: Duration, ticket: CallTicket) {
         self.cold.record_sent(now, ticket);
-        self.stated.record_sent(now, ticket);
+        self.statements.limit_mut().record_sent(now, ticket);
     }
 
     /// Starts a drain: new calls are refused from now on, and all queued calls
@@ -361,12 +303,7 @@
     /// True from the start of a drain until the next announcement, and while the
     /// current run is one that has stated that it is leaving.
     pub fn is_draining(&self) -> bool {
-        self.draining || self.leaving
-    }
-
-    /// True if the current run of the server has stated that it is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.draining || self.statements.is_leaving()
     }
 
     /// True while the failure domain of the server is evacuated.
@@ -517,7 +454,7 @@
     /// calls a second are concerned.
     fn pace_wait(&self, now: Duration, ahead: usize) -> Duration {
         let cold_wait = self.cold.wait(now, ahead);
-        cold_wait.max(self.stated.wait(now, ahead))
+        cold_wait.max(self.statements.limit().wait(now, ahead))
     }
 
     fn expected_slot_wait(&self) -> Duration {
@@ -618,7 +555,7 @@
         let ratio = self.times.ratio(&call.route, elapsed);
         match outcome {
             SlotOutcome::Answered(taken) => {
-                self.answered = true;
+                self.statements.record_answer();
                 let uncontended = self
                     .limit
                     .is_uncontended(in_flight.max(call.in_flight_at_start));
@@ -705,7 +642,7 @@
         };
         self.running.insert(call.ticket, running);
         self.cold.grant(call.ticket);
-        self.stated.grant(call.ticket);
+        self.statements.limit_mut().grant(call.ticket);
     }
 
     fn long_jobs_max(&self) -> u32 {
@@ -719,7 +656,7 @@
         let capacity = self.standing.capacity(now, self.bounds.calls, allowed);
         // Calls beyond what the server takes within the longest wait would only
         // wait until it times out.
-        let paced = self.stated.calls_within(self.bounds.wait);
+        let paced = self.statements.limit().calls_within(self.bounds.wait);
         let queue_max = paced.map_or(capacity, |paced| capacity.min(paced));
         let late_max = late_call_limit::waiting_max(allowed);
         while let Some(call) = self.queue.evict_late(late_max, self.order) {
--- a/crates/core/tests/server_notices.rs
+++ b/crates/core/tests/server_notices.rs
@@ -61,7 +61,7 @@
         version: "v1".into(),
         slots: 9,
     });
-    gate.begin_run(Some(run));
+    gate.statements_mut().begin_run(Some(run));
     gate.configure(QueueBounds {
         slots_floor: 100,
         ..QueueBounds::default()
@@ -192,7 +192,12 @@
         let notice = notice.map(ToString::to_string);
         let notice = notice.map(|text| ServerNotice::parse(&text).expect("a notice"));
         if let Some(notice) = notice {
-            if self.gate.apply_notice(now, &notice).is_err() {
+            if self
+                .gate
+                .statements_mut()
+                .apply_notice(now, &notice)
+                .is_err()
+            {
                 return;
             }
         }
@@ -237,7 +242,7 @@
         let now = self.node_now();
         let sent_at = call.sent_at.expect("a sent call");
         let sent_at = sent_at.saturating_sub(self.node_started);
-        if !self.statement.is_empty() || self.gate.stated_rate().is_some() {
+        if !self.statement.is_empty() || self.gate.statements().limit().rate().is_some() {
             let actions = self.gate.record_statement(now, sent_at, self.statement);
             self.apply(actions);
         }
@@ -271,7 +276,7 @@
             entry.heard_limit = None;
             entry.heard_leaving = None;
         }
-        self.gate.begin_run(Some(self.run.clone()));
+        self.gate.statements_mut().begin_run(Some(self.run.clone()));
     }
 
     /// Ends all running calls without an answer.
@@ -450,11 +455,17 @@
     };
     let notice = ServerNotice::of(run.clone(), statement).expect("a notice");
     let mut gate = gate(run);
-    assert_eq!(gate.apply_notice(millis(10), &notice), Ok(()));
-    assert_eq!(gate.stated_rate(), Some(2.0));
+    assert_eq!(
+        gate.statements_mut().apply_notice(millis(10), &notice),
+        Ok(())
+    );
+    assert_eq!(gate.statements().limit().rate(), Some(2.0));
     gate.record_statement(millis(60), millis(20), ServerStatement::default());
-    assert_eq!(gate.apply_notice(millis(70), &notice), Ok(()));
-    assert_eq!(gate.stated_rate(), None);
+    assert_eq!(
+        gate.statements_mut().apply_notice(millis(70), &notice),
+        Ok(())
+    );
+    assert_eq!(gate.statements().limit().rate(), None);
 }
 
 // Guards against a node that believes what was stated by an earlier run.
@@ -474,9 +485,12 @@
     };
     let notice = ServerNotice::of(earlier.clone(), statement).expect("a notice");
     let mut gate = gate(later);
-    assert_eq!(gate.apply_notice(millis(10), &notice), Ok(()));
-    assert_eq!(gate.stated_rate(), None);
-    gate.begin_run(Some(earlier));
-    let refused = gate.apply_notice(millis(20), &notice);
+    assert_eq!(
+        gate.statements_mut().apply_notice(millis(10), &notice),
+        Ok(())
+    );
+    assert_eq!(gate.statements().limit().rate(), None);
+    gate.statements_mut().begin_run(Some(earlier));
+    let refused = gate.statements_mut().apply_notice(millis(20), &notice);
     assert_eq!(refused, Err(RefusalReason::Draining));
 }
--- a/crates/core/tests/stated_limit.rs
+++ b/crates/core/tests/stated_limit.rs
@@ -46,7 +46,7 @@
         version: "v1".into(),
         slots: SLOTS,
     });
-    gate.begin_run(Some(run(Some(1))));
+    gate.statements_mut().begin_run(Some(run(Some(1))));
     gate.configure(QueueBounds {
         slots_floor: 100,
         ..QueueBounds::default()
@@ -187,7 +187,9 @@
                 self.state();
             }
             // The first report of a run that a health check had found.
-            LimitEvent::Reported => self.gate.begin_run(Some(run(Some(1)))),
+            LimitEvent::Reported => {
+                self.gate.statements_mut().begin_run(Some(run(Some(1))))
+            }
             LimitEvent::Wait(wait) => {
                 self.now += millis(*wait);
                 let actions = self.gate.wake(self.now);
@@ -305,12 +307,12 @@
     gate.record_statement(millis(100), millis(80), stating(5.0));
     let unlimited = ServerStatement::default();
     gate.record_statement(millis(110), millis(70), unlimited);
-    assert_eq!(gate.stated_rate(), Some(5.0));
+    assert_eq!(gate.statements().limit().rate(), Some(5.0));
     let unreadable = ServerStatement::parse(Some("few"), None);
     gate.record_statement(millis(120), millis(115), unreadable);
-    assert_eq!(gate.stated_rate(), Some(5.0));
+    assert_eq!(gate.statements().limit().rate(), Some(5.0));
     gate.record_statement(millis(130), millis(115), unlimited);
-    assert_eq!(gate.stated_rate(), None);
+    assert_eq!(gate.statements().limit().rate(), None);
 }
 
 // Guards against a server that is held to the limit of its previous run, and against
@@ -318,12 +320,12 @@
 #[test]
 fn a_limit_belongs_to_one_run_of_the_server() {
     let mut gate = gate();
-    gate.begin_run(Some(run(None)));
+    gate.statements_mut().begin_run(Some(run(None)));
     gate.record_statement(millis(100), millis(80), stating(5.0));
-    gate.begin_run(Some(run(Some(7))));
-    assert_eq!(gate.stated_rate(), Some(5.0));
-    gate.begin_run(Some(run(Some(8))));
-    assert_eq!(gate.stated_rate(), None);
+    gate.statements_mut().begin_run(Some(run(Some(7))));
+    assert_eq!(gate.statements().limit().rate(), Some(5.0));
+    gate.statements_mut().begin_run(Some(run(Some(8))));
+    assert_eq!(gate.statements().limit().rate(), None);
 }
 
 // Guards against calls that wait on although the server has no limit any more.
@@ -355,7 +357,7 @@
     assert!(gate.is_draining());
     let refused = vec![GateAction::Refuse(1, RefusalReason::Draining)];
     assert_eq!(gate.offer(millis(110), 1, offered(false)), refused);
-    gate.begin_run(Some(run(Some(2))));
+    gate.statements_mut().begin_run(Some(run(Some(2))));
     assert!(!gate.is_draining());
     let started = vec![GateAction::Start(2)];
     assert_eq!(gate.offer(millis(120), 2, offered(false)), started);
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -316,7 +316,7 @@
             let now = self.started.elapsed();
             self.status.expected_wait.set(self.gate.expected_wait(now));
             self.status.repeat_probability.set(self.gate.repeats());
-            let stated_rate = self.gate.stated_rate();
+            let stated_rate = self.gate.statements().limit().rate();
             self.status.limited.set(stated_rate.is_some());
             self.metrics.set_stated_rate(stated_rate);
             self.log_cold(now);
@@ -372,8 +372,9 @@
             }
             GateMessage::AcquireSlot(ticket, call, notice, reply) => {
                 self.waiters.insert(ticket, reply);
-                let heard =
-                    notice.map_or(Ok(()), |notice| self.gate.apply_notice(now, &notice));
+                let heard = notice.map_or(Ok(()), |notice| {
+                    self.gate.statements_mut().apply_notice(now, &notice)
+                });
                 let actions = match heard {
                     Ok(()) => self.gate.offer(now, ticket, call),
                     Err(reason) => vec![GateAction::Refuse(ticket, reason)],
@@ -425,7 +426,10 @@
             name,
             started_ms: None,
         });
-        if run.is_some() && run.as_ref() == self.gate.run() && self.gate.is_leaving() {
+        if run.is_some()
+            && run.as_ref() == self.gate.statements().run()
+            && self.gate.statements().is_leaving()
+        {
             return Err(PresenceRefusal::Draining);
         }
         let in_flight = self.gate.in_flight();
@@ -439,11 +443,12 @@
             self.cold_start.restart();
             self.status.service_times.borrow_mut().clear();
         }
-        let same_run =
-            unchanged && self.server == Some(address) && self.gate.run() == run.as_ref();
+        let same_run = unchanged
+            && self.server == Some(address)
+            && self.gate.statements().run() == run.as_ref();
         if !same_run || self.gate.is_draining() {
             self.gate.cold_mut().begin_run(now, cold_remaining);
-            self.gate.begin_run(run);
+            self.gate.statements_mut().begin_run(run);
         } else if let Some(remaining) = cold_remaining {
             self.gate.cold_mut().report(now, remaining);
         }
@@ -520,7 +525,7 @@
         }
         self.metrics.run_began();
         self.gate.cold_mut().begin_run(now, cold_remaining);
-        self.gate.begin_run(self.runs.server_run());
+        self.gate.statements_mut().begin_run(self.runs.server_run());
         self.gate.announce(server);
         self.configure();
         self.server = Some(address);
@@ -649,7 +654,7 @@
     /// Records what the server states in an answer, unless another run of it gave
     /// the answer.
     fn record_statement(&mut self, now: Duration, answer: &AnswerStatement) {
-        let given_by_current = match (self.gate.run(), &answer.run) {
+        let given_by_current = match (self.gate.statements().run(), &answer.run) {
             (Some(current), Some(run)) => current.may_be(run),
             (None, None) => true,
             _ => false,
@@ -673,8 +678,8 @@
             granted: self.granted,
         };
         self.statement_log
-            .record(now, self.gate.run(), statement, figures);
-        let began_to_leave = statement.leaving && !self.gate.is_leaving();
+            .record(now, self.gate.statements().run(), statement, figures);
+        let began_to_leave = statement.leaving && !self.gate.statements().is_leaving();
         let actions = self.gate.record_statement(now, sent_at, statement);
         self.apply(actions);
         if began_to_leave {
@@ -703,7 +708,7 @@
         Ok(SlotGrant {
             server,
             warm: self.cold_start.record_call(),
-            run: self.gate.run().cloned(),
+            run: self.gate.statements().run().cloned(),
             counts_sends: self.gate.counts_sends(),
         })
     }
