Nodes report the endpoints that restarted control instances no longer list

The new directory is built from what live servers announce, so the dead ones had no lease that could expire, and nodes that compare directories only fetch what they lack. Ruled out: frozen leases (19 of 99), a leader that regained its lease.

Change: a source answers a comparison with its own digests. A node or relay reports the records that the source still does not list 5 to 10 s later; they get a lease and are removed everywhere when nobody renews that. Both builds read each other's answers: the digests are an optional field.

Measured: a_server_that_only_nodes_remember_is_removed fails without the report (the record stays Serving) and passes.

--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -71,6 +71,8 @@
     Chunk(ChunkCall, oneshot::Sender<ChunkAnswer>),
     /// Records reports of nodes and endpoints.
     Report(ReportBatch),
+    /// Reports records to the leader that it does not list.
+    ReportUnlisted(Vec<EndpointRecord>),
     /// Takes the reports that are to be sent to the leader.
     TakeReports(oneshot::Sender<ReportBatch>),
     /// Takes back reports that could not be sent to the leader.
@@ -229,6 +231,9 @@
                 let _ = reply.send(ChunkAnswer { chunk });
             }
             FanoutMessage::Report(batch) => self.source.report(now, batch),
+            FanoutMessage::ReportUnlisted(records) => {
+                self.source.report_unlisted(records);
+            }
             FanoutMessage::TakeReports(reply) => {
                 if let Err(batch) = reply.send(self.source.take_reports(now)) {
                     self.source.requeue_reports(batch);
--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use log::info;
 use log::warn;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -43,6 +44,10 @@
 /// Timeout of a call to the leader: four times [`FOLLOW_WAIT`].
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after the first answer of a leader before the endpoints that it does not
+/// list are reported to it. Their nodes announce them sooner if they are live.
+const UNLISTED_DELAY: Duration = Duration::from_secs(5);
+
 /// Pause after a failed call, so that an unreachable leader costs little.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -156,6 +161,18 @@
         );
         let snapshot = self.fetch_snapshot(address, step, answer.chunk).await?;
         let endpoints = self.directory.take(answer.directory);
+        let now = self.started.elapsed();
+        let unlisted = self.directory.take_unlisted(now, UNLISTED_DELAY);
+        if !unlisted.is_empty() {
+            info!(
+                "event=unlisted-reported process=control control={address} endpoints={}",
+                unlisted.len()
+            );
+            let reported = FanoutMessage::ReportUnlisted(unlisted);
+            if self.fanout.send(reported).await.is_err() {
+                return Ok(false);
+            }
+        }
         let update = InstalledUpdate {
             sent_at,
             source,
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -188,6 +188,19 @@
         changed
     }
 
+    /// Names of the endpoints that have not left, in the buckets whose digest differs
+    /// from `theirs`.
+    pub fn live_in_differing<'a>(
+        &'a self,
+        theirs: &'a DirectoryDigest,
+    ) -> impl Iterator<Item = Arc<str>> + 'a {
+        let differing = self.records.values().filter(|held| {
+            held.record.standing != EndpointStanding::Gone
+                && self.digest.differs(theirs, &held.record.instance)
+        });
+        differing.map(|held| Arc::clone(&held.record.instance))
+    }
+
     /// Every record that changed after `revision`, oldest change first.
     pub fn since(&self, revision: u64) -> Vec<EndpointRecord> {
         let mut changed = Vec::new();
--- a/crates/core/src/directory_follower.rs
+++ b/crates/core/src/directory_follower.rs
@@ -1,6 +1,10 @@
 //! A follower's copy of the directory of backend servers, and the exchange
 //! that updates it with little traffic from any source.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -40,6 +44,9 @@
     /// digests of the buckets.
     #[serde(rename = "place")]
     pub position: Option<DirectoryPosition>,
+    /// Digests of the source's buckets, in answer to those of the follower.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parts: Option<DirectoryDigest>,
 }
 
 /// How a source updates a follower's directory.
@@ -86,6 +93,10 @@
     directory: EndpointDirectory,
     position: DirectoryPosition,
     digests_requested: bool,
+    /// Endpoints that the source does not list.
+    unlisted: BTreeSet<Arc<str>>,
+    /// When they are to be reported; set once this is asked for.
+    unlisted_due: Option<Duration>,
 }
 
 impl DirectoryFollower {
@@ -105,8 +116,13 @@
         if let Some(position) = update.position {
             self.position = position;
         }
+        if let Some(theirs) = &update.parts {
+            self.unlisted = self.directory.live_in_differing(theirs).collect();
+            self.unlisted_due = None;
+        }
         let mut changed = Vec::new();
         for record in update.records {
+            self.unlisted.remove(&record.instance);
             if self.directory.merge(record.clone()) {
                 changed.push(record);
             }
@@ -114,10 +130,40 @@
         changed
     }
 
+    /// Takes the records that the source still does not list `delay` after this was
+    /// first asked for, to be reported to it.
+    ///
+    /// Guards against dead servers that followers keep for ever: all control
+    /// instances restart, and learn only of the servers that live ones announce. A
+    /// record that is reported gets a lease, and is removed everywhere when nobody
+    /// renews that. The delay is for live servers to announce themselves first.
+    pub fn take_unlisted(
+        &mut self,
+        now: Duration,
+        delay: Duration,
+    ) -> Vec<EndpointRecord> {
+        if self.unlisted.is_empty() {
+            return Vec::new();
+        }
+        if now < *self.unlisted_due.get_or_insert(now + delay) {
+            return Vec::new();
+        }
+        let unlisted = std::mem::take(&mut self.unlisted);
+        let held = unlisted.iter().filter_map(|name| self.directory.get(name));
+        held.cloned().collect()
+    }
+
+    /// Takes back records that could not be reported.
+    pub fn return_unlisted(&mut self, records: &[EndpointRecord]) {
+        let names = records.iter().map(|record| Arc::clone(&record.instance));
+        self.unlisted.extend(names);
+    }
+
     /// Discards the position, which is not valid at another source.
     pub fn reset_position(&mut self) {
         self.position = DirectoryPosition::default();
         self.digests_requested = false;
+        self.unlisted.clear();
     }
 
     /// The follower's copy of the directory.
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -234,21 +234,20 @@
             }
             DirectorySync::Since(_) => {}
             DirectorySync::Records(records) => {
-                let position = Some(self.position());
-                self.answer_with_directory(
-                    now,
-                    id,
-                    DirectoryUpdate { records, position },
-                );
+                let update = DirectoryUpdate {
+                    records,
+                    position: Some(self.position()),
+                    parts: Some(self.directory.digest().clone()),
+                };
+                self.answer_with_directory(now, id, update);
             }
             DirectorySync::NeedsDigests => {
-                let records = Vec::new();
-                let position = None;
-                self.answer_with_directory(
-                    now,
-                    id,
-                    DirectoryUpdate { records, position },
-                );
+                let update = DirectoryUpdate {
+                    records: Vec::new(),
+                    position: None,
+                    parts: None,
+                };
+                self.answer_with_directory(now, id, update);
             }
         }
         id
@@ -311,6 +310,14 @@
         }
     }
 
+    /// Queues records for the leader that it does not list, although this instance
+    /// does.
+    pub fn report_unlisted(&mut self, records: Vec<EndpointRecord>) {
+        for record in records {
+            self.aggregator.record_endpoint(record);
+        }
+    }
+
     fn merge(&mut self, now: Duration, record: EndpointRecord) -> bool {
         let instance = Arc::clone(&record.instance);
         let gone = record.standing == EndpointStanding::Gone;
--- a/crates/core/src/update_source/answers.rs
+++ b/crates/core/src/update_source/answers.rs
@@ -82,6 +82,7 @@
             let directory = DirectoryUpdate {
                 records: self.directory.since(key.state.revision),
                 position: Some(self.position()),
+                parts: None,
             };
             let reply = self.reply(now, &followers[0], &key, directory);
             let followers = followers.iter().map(|follower| follower.id).collect();
--- a/crates/core/tests/update_source.rs
+++ b/crates/core/tests/update_source.rs
@@ -240,6 +240,49 @@
     assert_eq!(leader.counts().leases_ended, 1);
 }
 
+// Guards against a dead server that nodes keep for ever: it dies while all control
+// instances restart, and these learn only of the servers that announce themselves.
+#[test]
+fn a_server_that_only_nodes_remember_is_removed() {
+    let mut first = leader();
+    let names: Vec<String> = (0..9).map(|at| format!("server-{at}")).collect();
+    for name in &names {
+        let serving = record(name, 1, EndpointStanding::Serving);
+        first.report(ms(0), endpoints(vec![serving]));
+    }
+    let mut node = DirectoryFollower::default();
+    let whole = updates(answer(&mut first, ms(100), call("node", 0, node.request())));
+    assert_eq!(node.take(whole.directory).len(), 9);
+
+    let mut restarted = source("control-1", 2);
+    restarted.set_leading(ms(0), true);
+    for name in &names[1..] {
+        let serving = record(name, 1, EndpointStanding::Serving);
+        restarted.report(ms(0), endpoints(vec![serving]));
+    }
+    let mut reported = 0;
+    for second in 1..40 {
+        let now = Duration::from_secs(second);
+        for name in &names[1..] {
+            restarted.follow(now, call(name, 0, equal_digest(&restarted)));
+        }
+        let id = restarted.follow(now, call("node", 0, node.request()));
+        for (to, reply) in due(&mut restarted, now).0 {
+            if to == id {
+                node.take(updates(reply).directory);
+            }
+        }
+        let unlisted = node.take_unlisted(now, ms(5_000));
+        reported += unlisted.len();
+        restarted.report(now, endpoints(unlisted));
+    }
+    let gone = node.directory().get("server-0").expect("a tombstone");
+    assert_eq!(gone.standing, EndpointStanding::Gone);
+    let next = node.directory().get("server-1").expect("a record");
+    assert_eq!(next.standing, EndpointStanding::Serving);
+    assert_eq!(reported, 1);
+}
+
 /// The directory request of a follower that is new to `source` and whose
 /// directory is equal to the one there.
 fn equal_digest(source: &UpdateSource) -> DirectoryRequest {
@@ -293,6 +336,18 @@
     assert_eq!(held.standing, EndpointStanding::Serving);
 }
 
+// Guards against the same where only a relay remembers the server, which did not
+// restart with the leader.
+#[test]
+fn a_server_that_only_a_relay_remembers_is_reported_to_the_leader() {
+    let mut relay = source("control-2", 2);
+    let serving = record("server-1", 1, EndpointStanding::Serving);
+    relay.report(ms(0), endpoints(vec![serving.clone()]));
+    relay.take_reports(ms(100));
+    relay.report_unlisted(vec![serving.clone()]);
+    assert_eq!(relay.take_reports(ms(200)).endpoints, [serving]);
+}
+
 /// Sends the relay's reports to the leader and the leader's update to the
 /// relay, once.
 fn exchange(
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -52,6 +52,13 @@
 /// wait, so that only refused connections are retried this quickly.
 const STARTUP_DIVISOR: u32 = 2;
 
+/// Minimum time after the first answer of a control instance before the endpoints
+/// that it does not list are reported to it.
+const UNLISTED_DELAY_MIN: Duration = Duration::from_secs(5);
+
+/// Spread of these reports over the nodes.
+const UNLISTED_SPREAD: Duration = Duration::from_secs(5);
+
 /// Timing of a node's polls.
 #[derive(Clone, Copy, Debug)]
 struct PollTiming {
@@ -108,6 +115,9 @@
     let ring = SourceRing::new(domain, &options.controls.borrow(), first);
     let (current, watched) = watch::channel(ring.current());
     let timing = PollTiming::new(options.wait);
+    // The first node to report spares the others the same report.
+    let spread_ms = options.seed % UNLISTED_SPREAD.as_millis() as u64;
+    let unlisted_delay = UNLISTED_DELAY_MIN + Duration::from_millis(spread_ms);
     let follower = ControlFollower {
         timing,
         backoff: ReconnectBackoff::new(options.seed).bounded(timing.backoff_max),
@@ -116,6 +126,7 @@
         current,
         versions: VersionFollower::new(Duration::ZERO),
         directory: DirectoryFollower::default(),
+        unlisted_delay,
         waited: false,
         started: Instant::now(),
     };
@@ -130,6 +141,9 @@
     current: watch::Sender<SocketAddr>,
     versions: VersionFollower,
     directory: DirectoryFollower,
+    /// Time for live servers to announce themselves to a control instance before
+    /// this node reports those that are missing there.
+    unlisted_delay: Duration,
     waited: bool,
     backoff: ReconnectBackoff,
     started: Instant,
@@ -275,6 +289,7 @@
             // The gate task ends only with the node.
             let _ = self.options.gate.send(GateMessage::Republish);
         }
+        self.report_unlisted().await;
         for record in &changed {
             if record.instance == self.options.instance {
                 let current = Box::new(record.clone());
@@ -289,6 +304,37 @@
         let _ = self.options.entry.send(update).await;
     }
 
+    /// Reports the endpoints that only this node and others like it remember.
+    async fn report_unlisted(&mut self) {
+        let now = self.started.elapsed();
+        let endpoints = self.directory.take_unlisted(now, self.unlisted_delay);
+        if endpoints.is_empty() {
+            return;
+        }
+        let address = self.ring.current();
+        info!(
+            "event=unlisted-reported process=node control={address} endpoints={}",
+            endpoints.len()
+        );
+        let batch = ReportBatch {
+            groups: Vec::new(),
+            endpoints,
+        };
+        let call = ReportCall { batch };
+        let sent = self
+            .options
+            .client
+            .send(address, &call, REQUEST_TIMEOUT)
+            .await;
+        if let Err(error) = sent {
+            warn!(
+                "event=report-failed process=node control={address} error={}",
+                LogValue(error)
+            );
+            self.directory.return_unlisted(&call.batch.endpoints);
+        }
+    }
+
     /// Fetches chunks until the follower needs no more. `first_chunk` is the one
     /// that came with the answer.
     async fn fetch(
