Log the inputs of a move's judgement: failed, slow and timed calls of both versions

Each line about a move now has both versions' counts and the evidence of both tests. No decision changes.

--- a/crates/control/src/rollout_task.rs
+++ b/crates/control/src/rollout_task.rs
@@ -29,6 +29,7 @@
 use cowslip_core::rollout::rollout_driver::CoursePoint;
 use cowslip_core::rollout::rollout_driver::RolloutDriver;
 use cowslip_core::rollout::rollout_driver::DRIVER_INTERVAL;
+use cowslip_core::rollout::rollout_judge::JudgeInputs;
 use cowslip_core::rollout::rollout_record::RolloutRecord;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::evidence_messages::EvidenceCall;
@@ -323,8 +324,9 @@
             counts,
             points,
         };
-        self.log_wait(record.rollout, &course);
-        let evidence = evidence_fields(&course);
+        let inputs = *driver.inputs();
+        self.log_wait(record.rollout, &course, &inputs);
+        let evidence = evidence_fields(&course, &inputs);
         self.courses.insert(record.rollout, course);
         if let Some(change) = change {
             self.propose(record.rollout, change, &evidence);
@@ -332,7 +334,12 @@
     }
 
     /// Logs the reason why a move waits whenever that reason changes.
-    fn log_wait(&self, rollout: ConfigVersion, course: &RolloutCourse) {
+    fn log_wait(
+        &self,
+        rollout: ConfigVersion,
+        course: &RolloutCourse,
+        inputs: &JudgeInputs,
+    ) {
         let before = self.courses.get(&rollout).and_then(|before| before.wait);
         let Some(wait) = course.wait.filter(|wait| before != Some(*wait)) else {
             return;
@@ -341,7 +348,7 @@
             "event=move-waits process=control instance={} move={rollout} for={} {}",
             self.instance,
             LogValue(wait.as_str()),
-            evidence_fields(course)
+            evidence_fields(course, inputs)
         );
     }
 
@@ -380,18 +387,36 @@
 }
 
 /// Formats the latest evidence on a move as log fields.
-fn evidence_fields(course: &RolloutCourse) -> String {
+fn evidence_fields(course: &RolloutCourse, inputs: &JudgeInputs) -> String {
     let Some(point) = course.points.last() else {
         return "looks=0".to_owned();
     };
+    let JudgeInputs {
+        failed,
+        slow,
+        failure_evidence,
+        slowness_evidence,
+        limit,
+    } = inputs;
     format!(
-        "share_per_mille={} new_calls={} new_failures={} calls={} suspicion={:.2} old_failing={:.2}",
+        "share_per_mille={} new_calls={} new_failures={} calls={} suspicion={:.2} \
+         old_failing={:.2} old_failed={}/{} new_failed={}/{} old_slow={}/{} new_slow={}/{} \
+         failure_evidence={failure_evidence:.2} slowness_evidence={slowness_evidence:.2} \
+         limit={limit:.2}",
         point.share_per_mille,
         point.counts.new_calls,
         point.counts.new_failures,
         point.counts.calls,
         point.suspicion,
-        point.old_failing
+        point.old_failing,
+        failed.old.events,
+        failed.old.calls,
+        failed.new.events,
+        failed.new.calls,
+        slow.old.events,
+        slow.old.calls,
+        slow.new.events,
+        slow.new.calls,
     )
 }
 
--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -24,6 +24,7 @@
 use crate::rollout::rollout_change::StepWait;
 use crate::rollout::rollout_change::TakeBackCause;
 use crate::rollout::rollout_judge::BadnessCause;
+use crate::rollout::rollout_judge::JudgeInputs;
 use crate::rollout::rollout_judge::JudgeResult;
 use crate::rollout::rollout_judge::RolloutJudge;
 use crate::rollout::rollout_judge::FALSE_ALARM_FLEET;
@@ -144,6 +145,7 @@
     wait: Option<StepWait>,
     waited: BTreeMap<StepWait, Duration>,
     evaluated_at: Option<Duration>,
+    inputs: JudgeInputs,
     course: Vec<CoursePoint>,
 }
 
@@ -178,6 +180,7 @@
             wait: None,
             waited: BTreeMap::new(),
             evaluated_at: None,
+            inputs: JudgeInputs::default(),
             course: Vec::new(),
         }
     }
@@ -187,6 +190,11 @@
         self.wait
     }
 
+    /// Inputs of the last evaluation.
+    pub fn inputs(&self) -> &JudgeInputs {
+        &self.inputs
+    }
+
     /// History of the move, as recorded by this leader.
     pub fn course(&self) -> &[CoursePoint] {
         &self.course
@@ -208,6 +216,7 @@
         self.evaluated_at = Some(now);
         self.demand.update(elapsed, tally.busy_us());
         let result = self.judge.evaluate(tally);
+        self.inputs = result.inputs;
         self.suspicion.update(now, result.suspicion);
         self.old_failure_rate.update(
             now,
--- a/crates/core/src/rollout/rollout_judge.rs
+++ b/crates/core/src/rollout/rollout_judge.rs
@@ -110,6 +110,23 @@
     pub suspicion: f64,
     /// The strongest evidence, whether or not it is sufficient.
     pub strongest: Option<BadnessCause>,
+    /// Inputs of the evaluation of all routes together.
+    pub inputs: JudgeInputs,
+}
+
+/// Inputs of one evaluation of all routes together, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct JudgeInputs {
+    /// Calls of both versions and the failed ones among them.
+    pub failed: PairCounts,
+    /// Timed answers of both versions and the slow ones among them.
+    pub slow: PairCounts,
+    /// Evidence from failures, as a natural logarithm.
+    pub failure_evidence: f64,
+    /// Evidence from slow answers, as a natural logarithm.
+    pub slowness_evidence: f64,
+    /// Evidence that is sufficient for a verdict.
+    pub limit: f64,
 }
 
 /// Creates the sequential test for a signal.
@@ -157,6 +174,7 @@
         let all = &tally.total;
         let mut result = JudgeResult::default();
         let found = self.total.evaluate(all);
+        result.inputs = self.total.inputs(limit);
         result.consider(limit, found, || self.total.cause(ALL_ROUTES, found.0, all));
         for (route, counts) in &tally.routes {
             let judge = self.routes.entry(Arc::clone(route));
@@ -189,10 +207,12 @@
 }
 
 /// Calls and events of both versions.
-#[derive(Clone, Copy, Debug, Default)]
-struct PairCounts {
-    old: EventCounts,
-    new: EventCounts,
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PairCounts {
+    /// Counts of the version in service.
+    pub old: EventCounts,
+    /// Counts of the version that the service moves to.
+    pub new: EventCounts,
 }
 
 impl PairCounts {
@@ -216,6 +236,7 @@
     slow: PairCounts,
     bound_us: u64,
     bound_calls: u64,
+    evidence: [f64; 2],
     strongest: (BadSignal, f64),
 }
 
@@ -228,10 +249,22 @@
             slow: PairCounts::default(),
             bound_us: u64::MAX,
             bound_calls: 0,
+            evidence: [f64::NEG_INFINITY; 2],
             strongest: (BadSignal::Failures, f64::NEG_INFINITY),
         }
     }
 
+    fn inputs(&self, limit: f64) -> JudgeInputs {
+        let [failure_evidence, slowness_evidence] = self.evidence;
+        JudgeInputs {
+            failed: self.failed,
+            slow: self.slow,
+            failure_evidence,
+            slowness_evidence,
+            limit,
+        }
+    }
+
     fn evaluate(&mut self, counts: &RouteTally) -> (BadSignal, f64) {
         let failed = failures(counts);
         if failed.calls() == self.failed.calls() {
@@ -246,6 +279,7 @@
             self.slow = slow;
         }
         self.update_slow_bound(counts);
+        self.evidence = [failure_evidence, slowness_evidence];
         self.strongest = if slowness_evidence > failure_evidence {
             (BadSignal::Slowness, slowness_evidence)
         } else {
