Log which calls a crashed backend server had in flight

The node beside a server now knows each call by a fingerprint (method, host, path with query, customer, the entry node's service, body) and logs those that a crash cut, without the ones that this server has lately completed. No call is treated differently.

Tests: crash_suspects.rs.

--- a/crates/core/src/claim/key.rs
+++ b/crates/core/src/claim/key.rs
@@ -36,6 +36,11 @@
         Self(digest)
     }
 
+    /// The digest as a number.
+    pub fn to_u128(self) -> u128 {
+        u128::from_be_bytes(self.0)
+    }
+
     /// The first 64 bits, for distributing keys over holders.
     pub fn leading_u64(&self) -> u64 {
         let mut first = [0; 8];
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agreement;
 pub mod applied_versions;
+pub mod call_fingerprint;
 pub mod call_try;
 pub mod catch_up_window;
 pub mod change;
@@ -16,6 +17,7 @@
 pub mod config_history;
 pub mod connection_renewal;
 pub mod control_state;
+pub mod crash_suspects;
 pub mod directory;
 pub mod directory_follower;
 pub mod document;
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -92,8 +92,12 @@
     Answered(Duration),
     /// The server answered that it is overloaded.
     Shed,
-    /// The call got no answer, it failed (a short time to a failure says
-    /// nothing about the server's speed), or its caller disconnected.
+    /// The server answered with a failure; a short time to a failure says nothing
+    /// about the server's speed.
+    Failed,
+    /// The connection to the server broke before an answer.
+    Cut,
+    /// The call got no answer in time, or its caller disconnected.
     Abandoned,
 }
 
@@ -565,7 +569,7 @@
                 }
             }
             SlotOutcome::Shed => return self.limit.shed(now),
-            SlotOutcome::Abandoned => {
+            SlotOutcome::Failed | SlotOutcome::Cut | SlotOutcome::Abandoned => {
                 self.times.observe_lower_bound(&call.route, elapsed);
                 if independent {
                     self.times.observe_abandoned(&call.route, elapsed);
--- /dev/null
+++ b/crates/core/tests/crash_suspects.rs
@@ -0,0 +1,110 @@
+//! Which calls a crash of a backend server casts suspicion on.
+
+use std::time::Duration;
+
+use cowslip_core::call_fingerprint::CallFingerprint;
+use cowslip_core::call_fingerprint::RequestParts;
+use cowslip_core::crash_suspects::CrashSuspects;
+use cowslip_core::crash_suspects::SuspectCall;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn parts(target: &str) -> RequestParts<'_> {
+    RequestParts {
+        method: "GET",
+        host: "fleet.example",
+        target,
+        customer: "",
+        caller: "documents",
+        body: b"",
+    }
+}
+
+fn call(target: &str) -> SuspectCall {
+    SuspectCall {
+        fingerprint: CallFingerprint::of(&parts(target)),
+        service: "ledger".into(),
+        route: "/harvest".into(),
+    }
+}
+
+#[test]
+fn a_crash_casts_suspicion_on_the_calls_in_flight() {
+    let mut suspects = CrashSuspects::default();
+    suspects.begin(1, call("/harvest/1"));
+    suspects.begin(2, call("/harvest/2"));
+    suspects.begin(3, call("/harvest/3"));
+    suspects.begin(4, call("/harvest/4"));
+    suspects.cut(NOW, 1);
+    suspects.complete(2);
+    suspects.forget(3);
+    let mut expected = vec![call("/harvest/1"), call("/harvest/4")];
+    expected.sort_by_key(|call| call.fingerprint);
+    assert_eq!(suspects.crash(NOW), expected);
+    assert_eq!(suspects.crash(NOW), Vec::new());
+}
+
+// Guards against blaming the path that every caller asks for: it is in flight at
+// every crash, and servers complete it all the time.
+#[test]
+fn a_request_that_servers_complete_is_no_suspect() {
+    let mut suspects = CrashSuspects::default();
+    suspects.begin(1, call("/prices"));
+    suspects.complete(1);
+    suspects.begin(2, call("/prices"));
+    suspects.begin(3, call("/harvest/9"));
+    assert_eq!(suspects.crash(NOW), vec![call("/harvest/9")]);
+
+    // The next version may crash on what the last one completed.
+    suspects.begin_version();
+    suspects.begin(4, call("/prices"));
+    assert_eq!(suspects.crash(NOW), vec![call("/prices")]);
+}
+
+#[test]
+fn a_connection_that_broke_long_before_a_crash_says_nothing() {
+    let mut suspects = CrashSuspects::default();
+    suspects.begin(1, call("/harvest/1"));
+    suspects.cut(NOW, 1);
+    assert_eq!(suspects.crash(NOW + Duration::from_secs(3)), Vec::new());
+}
+
+#[test]
+fn repeats_share_a_fingerprint_and_other_requests_do_not() {
+    let first = parts("/harvest/1");
+    let fingerprint = CallFingerprint::of(&first);
+    assert_eq!(CallFingerprint::of(&parts("/harvest/1")), fingerprint);
+    let others = [
+        RequestParts {
+            method: "HEAD",
+            ..first
+        },
+        RequestParts {
+            host: "other.example",
+            ..first
+        },
+        RequestParts {
+            target: "/harvest/1?page=2",
+            ..first
+        },
+        RequestParts {
+            customer: "orchard",
+            ..first
+        },
+        RequestParts {
+            caller: "ledger",
+            ..first
+        },
+        RequestParts {
+            body: b"{}",
+            ..first
+        },
+    ];
+    for other in others {
+        assert_ne!(CallFingerprint::of(&other), fingerprint, "{other:?}");
+    }
+    let text = fingerprint.to_string();
+    assert_eq!(text.parse(), Ok(fingerprint));
+    assert!(text[1..].parse::<CallFingerprint>().is_err());
+    assert!("+".repeat(32).parse::<CallFingerprint>().is_err());
+}
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -28,6 +28,8 @@
 use futures_util::StreamExt;
 use log::warn;
 
+use cowslip_core::call_fingerprint::CallFingerprint;
+use cowslip_core::call_fingerprint::RequestParts;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::http_reply::HttpReply;
@@ -84,6 +86,25 @@
         }
     }
 
+    /// Returns what the request has in common with its repeats. `caller` is the
+    /// service beside the request's entry node.
+    pub fn fingerprint(&self, body: &CallBody, caller: Option<&str>) -> CallFingerprint {
+        let text = |name: &str| {
+            let value = self.headers.get(name);
+            value.and_then(|value| value.to_str().ok()).unwrap_or("")
+        };
+        let target = self.target.to_string();
+        let body = body.buffered();
+        CallFingerprint::of(&RequestParts {
+            method: self.method.as_str(),
+            host: text(HOST.as_str()),
+            target: &target,
+            customer: text(call_headers::CUSTOMER),
+            caller: caller.unwrap_or(""),
+            body: &body[..body.len().min(BUFFERED_BYTES_MAX)],
+        })
+    }
+
     /// Builds the request of one hop; `added` headers replace those of the same
     /// name. A header whose value is not printable is left out and logged.
     pub fn hop_request(&self, dialect: &CallDialect, added: HopHeaders) -> HopRequest {
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -14,6 +14,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::call_fingerprint::CallFingerprint;
+use cowslip_core::crash_suspects::CrashSuspects;
+use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::endpoint_announcer::EndpointAnnouncer;
@@ -144,14 +147,8 @@
     Unreachable,
     /// Result of a probe of the backend server's address.
     Probed(SocketAddr, ProbeResult),
-    /// A call requests a slot. Its entry node may have heard the server state
-    /// something.
-    AcquireSlot(
-        CallTicket,
-        OfferedCall,
-        Option<ServerNotice>,
-        oneshot::Sender<SlotAnswer>,
-    ),
+    /// A call requests a slot.
+    AcquireSlot(SlotRequest, oneshot::Sender<SlotAnswer>),
     /// The request of a call was sent to the backend server.
     RequestSent(CallTicket),
     /// The backend server answered, and it states something or had stated a limit.
@@ -170,6 +167,19 @@
     Configure(GateConfig),
 }
 
+/// A call that requests a slot.
+#[derive(Clone, Debug)]
+pub struct SlotRequest {
+    /// Ticket of the call.
+    pub ticket: CallTicket,
+    /// Properties that its entry node states.
+    pub call: OfferedCall,
+    /// What its repeats have in common with it.
+    pub fingerprint: CallFingerprint,
+    /// What its entry node heard the server state, if anything.
+    pub notice: Option<ServerNotice>,
+}
+
 /// What the backend server states in an answer.
 #[derive(Clone, Debug)]
 pub struct AnswerStatement {
@@ -224,6 +234,12 @@
     }
 }
 
+/// A call that has requested a slot and has no answer yet.
+struct SlotWaiter {
+    reply: oneshot::Sender<SlotAnswer>,
+    suspect: SuspectCall,
+}
+
 struct GateTask {
     status: GateStatus,
     metrics: GateMetrics,
@@ -234,12 +250,13 @@
     probing: bool,
     self_sender: mpsc::WeakUnboundedSender<GateMessage>,
     bounds: GateBounds,
-    waiters: HashMap<CallTicket, oneshot::Sender<SlotAnswer>>,
+    waiters: HashMap<CallTicket, SlotWaiter>,
     started: BootInstant,
     /// Start of the task by the wall clock, in milliseconds since the Unix epoch.
     started_ms: u64,
     server: Option<SocketAddr>,
     cold_start: ColdStart,
+    suspects: CrashSuspects,
     /// Whether the log says that the server is cold.
     cold_logged: bool,
     statement_log: StatementLog,
@@ -290,6 +307,7 @@
         started_ms,
         server: None,
         cold_start: ColdStart::default(),
+        suspects: CrashSuspects::default(),
         cold_logged: false,
         statement_log,
         granted: 0,
@@ -370,8 +388,19 @@
                 self.presence.drain(now);
                 self.withdraw("draining");
             }
-            GateMessage::AcquireSlot(ticket, call, notice, reply) => {
-                self.waiters.insert(ticket, reply);
+            GateMessage::AcquireSlot(request, reply) => {
+                let SlotRequest {
+                    ticket,
+                    call,
+                    fingerprint,
+                    notice,
+                } = request;
+                let suspect = SuspectCall {
+                    fingerprint,
+                    service: Arc::clone(&call.service),
+                    route: Arc::clone(&call.route),
+                };
+                self.waiters.insert(ticket, SlotWaiter { reply, suspect });
                 let heard = notice.map_or(Ok(()), |notice| {
                     self.gate.statements_mut().apply_notice(now, &notice)
                 });
@@ -390,6 +419,15 @@
                 if let Some((route, work)) = self.gate.service_time(ticket) {
                     self.status.service_times.borrow_mut().insert(route, work);
                 }
+                match outcome {
+                    SlotOutcome::Answered(_) | SlotOutcome::Failed => {
+                        self.suspects.complete(ticket);
+                    }
+                    SlotOutcome::Cut => self.suspects.cut(now, ticket),
+                    SlotOutcome::Shed | SlotOutcome::Abandoned => {
+                        self.suspects.forget(ticket);
+                    }
+                }
                 let actions = self.gate.end(now, ticket, outcome);
                 self.apply(actions);
             }
@@ -452,7 +490,7 @@
         } else if let Some(remaining) = cold_remaining {
             self.gate.cold_mut().report(now, remaining);
         }
-        self.gate.announce(server);
+        self.set_announced(server);
         self.configure();
         self.server = Some(address);
         self.publish();
@@ -526,12 +564,20 @@
         self.metrics.run_began();
         self.gate.cold_mut().begin_run(now, cold_remaining);
         self.gate.statements_mut().begin_run(self.runs.server_run());
-        self.gate.announce(server);
+        self.set_announced(server);
         self.configure();
         self.server = Some(address);
         self.publish();
     }
 
+    fn set_announced(&mut self, server: AnnouncedServer) {
+        let known = self.gate.announced();
+        if known.is_none_or(|known| known.version != server.version) {
+            self.suspects.begin_version();
+        }
+        self.gate.announce(server);
+    }
+
     /// Applies a report of the current run: the server is reachable again, or
     /// its service, version or slots changed.
     fn continue_run(&mut self, server: AnnouncedServer) {
@@ -542,7 +588,7 @@
         if self.gate.is_draining() && !reachable_again {
             return;
         }
-        self.gate.announce(server);
+        self.set_announced(server);
         self.configure();
         self.publish();
     }
@@ -627,6 +673,16 @@
             self.endpoint.instance,
             self.gate.cold().crashes()
         );
+        let suspects = self.suspects.crash(now);
+        for suspect in &suspects {
+            info!(
+                "event=call-cut-by-crash process=node instance={} fingerprint={} service={} route={}",
+                self.endpoint.instance,
+                suspect.fingerprint,
+                suspect.service,
+                LogValue(&suspect.route)
+            );
+        }
     }
 
     /// Logs the start and the end of the time in which calls to the server are
@@ -697,8 +753,11 @@
             let Some(waiter) = self.waiters.remove(&ticket) else {
                 continue;
             };
+            if answer.is_ok() {
+                self.suspects.begin(ticket, waiter.suspect);
+            }
             // A caller that stopped waiting sends `ReleaseSlot` itself.
-            let _ = waiter.send(answer);
+            let _ = waiter.reply.send(answer);
         }
     }
 
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::call_fingerprint::CallFingerprint;
 use cowslip_core::document::CallPriority;
 use cowslip_core::entry_router::TryFailure;
 use cowslip_core::load::call_queue::CallTicket;
@@ -49,6 +50,7 @@
 use crate::gate_task::GateMessage;
 use crate::gate_task::GateStatus;
 use crate::gate_task::SlotGrant;
+use crate::gate_task::SlotRequest;
 use crate::holder_task::HolderMessage;
 use crate::hop::HopResponse;
 use crate::hop::SendObserver;
@@ -173,7 +175,8 @@
         let parts = CallParts::of(&request, &self.dialect);
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
         call.left = time_left(left, arrived)?;
-        let (grant, mut slot) = self.acquire_slot(call, notice).await?;
+        let fingerprint = parts.fingerprint(&body, caller.as_deref());
+        let (grant, mut slot) = self.acquire_slot(call, fingerprint, notice).await?;
         let left = deadline_budget::for_next_hop(time_left(left, arrived)?);
         let sent = BootInstant::now();
         let mut request = parts.hop_request(
@@ -184,20 +187,22 @@
             request.observer = Some(slot.send_observer());
         }
         let sending = self.pools.send(grant.server, &request, &mut body, left);
-        let mut response = sending.await.inspect_err(|failure| {
-            let lost = [
-                RefusalReason::ConnectFailed,
-                RefusalReason::ConnectionBroken,
-            ];
-            if lost.contains(&failure.reason) {
+        let sent_call = sending.await;
+        if let Err(failure) = &sent_call {
+            let broken = failure.reason == RefusalReason::ConnectionBroken;
+            if broken {
+                slot.outcome = SlotOutcome::Cut;
+            }
+            if broken || failure.reason == RefusalReason::ConnectFailed {
                 // The gate task ends only with the node.
                 let _ = self.gate.send(GateMessage::Unreachable);
             }
-        })?;
+        }
+        let mut response = sent_call?;
         let notice = self.record_statement(&response, &grant, sent);
         slot.outcome = match response.head.status {
             StatusCode::SERVICE_UNAVAILABLE => SlotOutcome::Shed,
-            status if status.is_server_error() => SlotOutcome::Abandoned,
+            status if status.is_server_error() => SlotOutcome::Failed,
             _ => SlotOutcome::Answered(sent.elapsed()),
         };
         if self.is_not_run(&response) {
@@ -289,15 +294,20 @@
     async fn acquire_slot(
         &self,
         call: OfferedCall,
+        fingerprint: CallFingerprint,
         notice: Option<ServerNotice>,
     ) -> Result<(SlotGrant, SlotGuard), TryFailure> {
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
         let (reply, answer) = oneshot::channel();
+        let request = SlotRequest {
+            ticket,
+            call,
+            fingerprint,
+            notice,
+        };
         // The gate task ends only with the node.
-        let _ = self
-            .gate
-            .send(GateMessage::AcquireSlot(ticket, call, notice, reply));
+        let _ = self.gate.send(GateMessage::AcquireSlot(request, reply));
         // Created before the wait, so that a caller that disconnects leaves the
         // queue.
         let slot = SlotGuard {
