A call goes to a free slot of the old version before it waits at the new one

What callers saw: during a move, calls that were drawn for the new version waited at its one or two servers in use while servers of the old version were free, and late answers counted against a sound version.

Cause: the entry router looked at every kind of search for the new version (free slots, then queues) before it looked at the old one.

Change: free slots of both versions are tried before any queue.

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -411,22 +411,25 @@
         plan.version = Some(Arc::clone(&version));
         let mut chosen = None;
         let mut all_evacuated = false;
-        for version in [&version, &spec.version] {
-            let pool = if spec.takes_any_version() {
-                self.servers.largest_pool(&plan.service)
-            } else {
-                self.servers.pool(&plan.service, version)
-            };
-            let Some(pool) = pool else {
-                continue;
-            };
-            all_evacuated = pool.is_evacuated(evacuations);
-            let share = spec.candidate.as_ref().and_then(|candidate| {
-                let is_candidate = candidate.version == *version;
-                is_candidate.then_some(candidate.share_per_mille)
-            });
-            let allowed = share.map(|share| pool.subset_for_share(share, evacuations));
-            for search in &searches {
+        // A call waits at the candidate version only if no server of the old version
+        // has a free slot: the few servers that a small share goes to may be slow.
+        for search in &searches {
+            for version in [&version, &spec.version] {
+                let pool = if spec.takes_any_version() {
+                    self.servers.largest_pool(&plan.service)
+                } else {
+                    self.servers.pool(&plan.service, version)
+                };
+                let Some(pool) = pool else {
+                    continue;
+                };
+                all_evacuated = pool.is_evacuated(evacuations);
+                let share = spec.candidate.as_ref().and_then(|candidate| {
+                    let is_candidate = candidate.version == *version;
+                    is_candidate.then_some(candidate.share_per_mille)
+                });
+                let allowed =
+                    share.map(|share| pool.subset_for_share(share, evacuations));
                 let criteria = ServerCriteria {
                     tried: &plan.tried_servers,
                     idempotent: plan.idempotent,
