A move with an exposure bound is judged until it is finished

Cause: the rule that takes a suspected version back near its bound ended at a share of 800 of 1000, and the last steps waited for a suspicion of 0.6 only, and only while it was fresh. After the finish nothing is judged, and the old servers stop.

Change: near the bound a suspected version is taken back at any share; suspicion delays every step without a limit of time; what is still suspected at 0.96 of the time is taken back. Half of the calls are held until 0.78 of the time (0.74 before), because a share of one half says most per call; the last steps keep their lengths.

--- a/crates/core/src/rollout/rollout_driver.rs
+++ b/crates/core/src/rollout/rollout_driver.rs
@@ -46,13 +46,12 @@
 /// version gets.
 pub const DRIVER_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Suspicion from which the share stops growing, relative to a verdict: about
-/// two failures while the share is small.
-const SUSPICION_LEVEL: f64 = 0.3;
+/// Suspicion from which the share stops growing, relative to a verdict.
+const SUSPICION_LEVEL: f64 = 0.5;
 
-/// Suspicion that delays the last check and the end of the move, where waiting
-/// endangers the deadline. A sound version reaches this level in fewer than one
-/// of a hundred moves.
+/// Suspicion that delays the last check and the end of a move without an exposure
+/// bound, where waiting endangers the deadline. A sound version reaches this level in
+/// fewer than one of a hundred moves.
 const LAST_SUSPICION_LEVEL: f64 = 0.6;
 
 /// With [`QuietChoice::Finish`], a step no longer waits for evidence once the
@@ -73,23 +72,25 @@
 /// until the withdrawal reaches every node.
 const EXPOSURE_HIGH_FRACTION: f64 = 0.45;
 
-/// Suspicion that is sufficient from [`EXPOSURE_HIGH_FRACTION`] on: odds of
-/// about thirty to one.
-const EXPOSURE_HIGH_SUSPICION: f64 = 0.4;
+/// Suspicion that is sufficient from [`EXPOSURE_HIGH_FRACTION`] on.
+const EXPOSURE_HIGH_SUSPICION: f64 = 0.5;
 
 /// Fraction of the exposure bound from which less suspicion is sufficient,
 /// because the rest would be used up before a verdict.
 const EXPOSURE_CRITICAL_FRACTION: f64 = 0.65;
 
-/// Suspicion that is sufficient from [`EXPOSURE_CRITICAL_FRACTION`] on: odds of
-/// about twelve to one.
-const EXPOSURE_CRITICAL_SUSPICION: f64 = 0.3;
+/// Suspicion that is sufficient from [`EXPOSURE_CRITICAL_FRACTION`] on.
+const EXPOSURE_CRITICAL_SUSPICION: f64 = 0.45;
 
 /// Fraction of the move's time from which a version that is still suspected, at
 /// a share below [`HELD_SHARE`], is taken back: the last steps need the
 /// remaining time.
 const LAST_DECISION_FRACTION: f64 = 0.85;
 
+/// Fraction of the move's time from which a version that is still suspected is taken
+/// back at any share: what is left is needed for the change to reach every node.
+const END_DECISION_FRACTION: f64 = 0.96;
+
 /// Failure rate of the old version from which the share of a version on trial
 /// does not grow. Above it, a new version that fails a third of its calls has
 /// less than three times the odds of failure, the least that counts as bad.
@@ -270,18 +271,13 @@
         let bound = record.exposure?;
         let fraction = MoveTime::of(now, record).fraction();
         let used_fraction = bound.used_fraction(counts.new_calls, counts.calls, fraction);
-        // `HELD_SHARE` is still on trial: some faults appear only there, and at
-        // four fifths of the calls the bound is soon exceeded.
-        let on_trial = record.share() <= HELD_SHARE;
         let suspicion_limit = if used_fraction >= EXPOSURE_CRITICAL_FRACTION {
             EXPOSURE_CRITICAL_SUSPICION
         } else {
             EXPOSURE_HIGH_SUSPICION
         };
-        if on_trial
-            && used_fraction >= EXPOSURE_HIGH_FRACTION
-            && result.suspicion >= suspicion_limit
-        {
+        let suspected = result.suspicion >= suspicion_limit;
+        if used_fraction >= EXPOSURE_HIGH_FRACTION && suspected {
             return result.strongest.clone();
         }
         None
@@ -340,15 +336,8 @@
             return Err(None);
         }
         let last = next == LAST_SHARE;
-        let level = if last {
-            LAST_SUSPICION_LEVEL
-        } else {
-            SUSPICION_LEVEL
-        };
-        // On trial, suspicion delays the step without a time limit, because a
-        // larger share costs failed calls and not only time.
+        self.check(&time, record, fleet, last)?;
         let on_trial = record.exposure.is_some() && share < HELD_SHARE;
-        self.check(&time, fleet, level, on_trial)?;
         // The share must not grow by chance: next to an old version that fails
         // many calls, a new version that fails slightly more looks sound for
         // long enough to exceed its bound.
@@ -390,7 +379,7 @@
         if !self.plan.is_over(time.elapsed, time.total) {
             return Err(None);
         }
-        self.check(time, fleet, LAST_SUSPICION_LEVEL, false)?;
+        self.check(time, record, fleet, true)?;
         // The old servers stop after the move. If none of the new ones may get
         // calls, because their failure domains are evacuated, the service would
         // be left without any.
@@ -411,15 +400,14 @@
         })
     }
 
-    /// Checks the preconditions of every step: the nodes report, and there is
-    /// no recent suspicion of `level` or more. For a version `on_trial`, older
-    /// suspicion counts too.
+    /// Checks the preconditions of every step: the nodes report, and the version is
+    /// not suspected. `last` applies to the last check and the end of the move.
     fn check(
         &self,
         time: &MoveTime,
+        record: &RolloutRecord,
         fleet: &FleetSnapshot,
-        level: f64,
-        on_trial: bool,
+        last: bool,
     ) -> Result<(), Option<StepWait>> {
         // Counts can look clean because the nodes that see the failures do not
         // report. One silent node is always allowed: while a small fleet is
@@ -429,18 +417,32 @@
         if fleet.nodes == 0 || silent * SILENT_ONE_IN > fleet.nodes {
             return Err(Some(StepWait::LostReporters));
         }
-        let waited = self.waited.get(&StepWait::Suspicion);
-        let waited = waited.copied().unwrap_or_default();
-        let bounded = waited < time.total.mul_f64(SUSPICION_FRACTION);
-        let grown_at = self.suspicion.grown_at;
-        let age = time.now.saturating_sub(grown_at);
-        let fresh = age < time.total.mul_f64(SUSPICION_FRESH_FRACTION);
-        if self.suspicion.level >= level && (on_trial || fresh && bounded) {
+        // With an exposure bound, suspicion delays a step without a time limit:
+        // a larger share costs failed calls and not only time, and once the move
+        // has finished nothing is judged any more.
+        let delays = match record.exposure {
+            Some(_) => self.suspicion.level >= SUSPICION_LEVEL,
+            None if last => {
+                self.suspicion.level >= LAST_SUSPICION_LEVEL && self.is_fresh(time)
+            }
+            None => self.suspicion.level >= SUSPICION_LEVEL && self.is_fresh(time),
+        };
+        if delays {
             return Err(Some(StepWait::Suspicion));
         }
         Ok(())
     }
 
+    /// Returns whether suspicion has grown lately and has not delayed the move for
+    /// long.
+    fn is_fresh(&self, time: &MoveTime) -> bool {
+        let waited = self.waited.get(&StepWait::Suspicion);
+        let waited = waited.copied().unwrap_or_default();
+        let age = time.now.saturating_sub(self.suspicion.grown_at);
+        waited < time.total.mul_f64(SUSPICION_FRACTION)
+            && age < time.total.mul_f64(SUSPICION_FRESH_FRACTION)
+    }
+
     /// Largest share, in thousandths, that the new version's slots can serve.
     fn max_share_by_slots(&self, fleet: &FleetSnapshot) -> u16 {
         if fleet.new_slots == 0 {
@@ -465,9 +467,13 @@
     record: &RolloutRecord,
     result: &JudgeResult,
 ) -> Option<BadnessCause> {
-    let late = MoveTime::of(now, record).fraction() >= LAST_DECISION_FRACTION;
-    let on_trial = record.exposure.is_some() && record.share() < HELD_SHARE;
-    if late && on_trial && result.suspicion >= SUSPICION_LEVEL {
+    let decided_by = if record.share() < HELD_SHARE {
+        LAST_DECISION_FRACTION
+    } else {
+        END_DECISION_FRACTION
+    };
+    let late = MoveTime::of(now, record).fraction() >= decided_by;
+    if late && record.exposure.is_some() && result.suspicion >= SUSPICION_LEVEL {
         return result.strongest.clone();
     }
     None
--- a/crates/core/src/rollout/share_plan.rs
+++ b/crates/core/src/rollout/share_plan.rs
@@ -90,7 +90,7 @@
 const BOUNDED_SHARE: u16 = 512;
 
 /// With an exposure bound: fraction of the time at which the last check begins.
-const BOUNDED_LAST_FRACTION: f64 = 0.74;
+const BOUNDED_LAST_FRACTION: f64 = 0.78;
 
 /// Keeps the share small for the first part of the time, then doubles it.
 ///
