A single version's servers are searched once for a call

Cause: since the change of the search order, each search ran twice over the same pool where no move is in progress, with new draws: servers with free slots were found more often in the first search and loaded ones got hardly any calls. Evidence: a_server_gets_no_more_calls_than_it_states failed once (no call reached the server that states a limit).

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -411,10 +411,12 @@
         plan.version = Some(Arc::clone(&version));
         let mut chosen = None;
         let mut all_evacuated = false;
+        let versions = [&version, &spec.version];
+        let distinct = if version == spec.version { 1 } else { 2 };
         // A call waits at the candidate version only if no server of the old version
         // has a free slot: the few servers that a small share goes to may be slow.
         for search in &searches {
-            for version in [&version, &spec.version] {
+            for version in &versions[..distinct] {
                 let pool = if spec.takes_any_version() {
                     self.servers.largest_pool(&plan.service)
                 } else {
@@ -425,7 +427,7 @@
                 };
                 all_evacuated = pool.is_evacuated(evacuations);
                 let share = spec.candidate.as_ref().and_then(|candidate| {
-                    let is_candidate = candidate.version == *version;
+                    let is_candidate = candidate.version == **version;
                     is_candidate.then_some(candidate.share_per_mille)
                 });
                 let allowed =
