Known red: a request that crashes its servers is stopped after the third crash

Five servers behind real nodes, each of which ends when it begins a certain request and starts again 200 ms later; its caller sends the request every 100 ms at one node after another.

--- a/crates/cli/tests/calls/main.rs
+++ b/crates/cli/tests/calls/main.rs
@@ -3,6 +3,8 @@
 
 mod at_most_once;
 mod broken_server;
+mod crashing_request;
+mod crashing_server;
 mod faults;
 mod fleet_calls;
 mod malformed;
