A server that came back at another address is probed there

What callers saw: a server that had crashed once and come back at another address was not noticed when it crashed again; calls were offered to it until its lease expired.

Cause: the probe of the old address went on for ever, because nothing listened there any more, and a probe that runs kept another one from starting. Evidence: in crashing_request (five servers that come back at new addresses) the nodes logged 5 of more than 30 crashes. Change: a probe ends when its server has another address; the gate holds its task.

--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -43,8 +43,8 @@
 use cowslip_wire::wall_clock;
 
 use crate::gate_metrics::GateMetrics;
-use crate::server_probe;
 use crate::server_probe::ProbeResult;
+use crate::server_probe::RunningProbe;
 use crate::statement_log::GateFigures;
 use crate::statement_log::StatementLog;
 
@@ -247,7 +247,7 @@
     gate: ServerGate,
     presence: ServerPresence,
     runs: ServerRuns,
-    probing: bool,
+    probe: Option<RunningProbe>,
     self_sender: mpsc::WeakUnboundedSender<GateMessage>,
     bounds: GateBounds,
     waiters: HashMap<CallTicket, SlotWaiter>,
@@ -299,7 +299,7 @@
         gate: ServerGate::default(),
         presence: ServerPresence::default(),
         runs: ServerRuns::default(),
-        probing: false,
+        probe: None,
         self_sender: sender.downgrade(),
         bounds: GateBounds::new(),
         waiters: HashMap::new(),
@@ -634,15 +634,20 @@
 
     /// Starts probing the backend server's address, unless a probe is running.
     fn probe(&mut self) {
-        let (Some(address), false) = (self.server, self.probing) else {
+        let Some(address) = self.server else {
             return;
         };
-        self.probing = true;
-        actix_rt::spawn(server_probe::watch(address, self.self_sender.clone()));
+        if self.probe.as_ref().map(RunningProbe::address) == Some(address) {
+            return;
+        }
+        self.probe = Some(RunningProbe::spawn(address, self.self_sender.clone()));
     }
 
     fn handle_probe(&mut self, address: SocketAddr, result: ProbeResult) {
-        self.probing = result == ProbeResult::Refused;
+        // A server that comes back at another address is not found at the old one.
+        if result == ProbeResult::Listening || self.server != Some(address) {
+            self.probe = None;
+        }
         if self.server != Some(address) {
             return;
         }
--- a/crates/node/src/server_probe.rs
+++ b/crates/node/src/server_probe.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -22,10 +23,40 @@
     Listening,
 }
 
+/// A task that probes one address. Dropping it ends the task.
+pub struct RunningProbe {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl RunningProbe {
+    /// Starts probing `address` until something listens there.
+    pub fn spawn(
+        address: SocketAddr,
+        gate: mpsc::WeakUnboundedSender<GateMessage>,
+    ) -> Self {
+        Self {
+            address,
+            task: actix_rt::spawn(watch(address, gate)),
+        }
+    }
+
+    /// The probed address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for RunningProbe {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// Probes `address` until it no longer refuses connections, and reports each
 /// result to the gate. Only a refusal counts as a lost server: the server's own
 /// machine sends it at once, and a server that is only slow never sends one.
-pub async fn watch(address: SocketAddr, gate: mpsc::WeakUnboundedSender<GateMessage>) {
+async fn watch(address: SocketAddr, gate: mpsc::WeakUnboundedSender<GateMessage>) {
     loop {
         let result = probe(address).await;
         let Some(gate) = gate.upgrade() else {
