A request under which three backend servers crashed is refused fleet-wide

Cause: nobody knew the request again. Each attempt has its own request ID, and a node sees the crashes of its own server only.

Change: the node beside a crashed server reports the calls that the crash cut and that the server had not completed lately, by fingerprint; a crash of a server that is limited for being cold makes no call guilty. At the third under one fingerprint it proposes a quarantine, an entry of the document, so that it is agreed, durable and known to a node that has just started. Entry nodes and the server's node refuse the request at once (503, not run, with the time at which the quarantine ends). The fingerprint takes the host without its port.

Ruled out: counting at entry nodes (none sees three crashes of one request); the directory's records (a crashed server's record is a tombstone, which a new node does not get); hashing every body at entry nodes (done only while there are quarantines).

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -16,6 +16,7 @@
 mod explain;
 mod member;
 mod moves;
+mod quarantine;
 mod show;
 mod status;
 mod timestamp;
@@ -31,6 +32,7 @@
     Move(moves::MoveArgs),
     Endpoints(endpoints::EndpointsArgs),
     Evacuate(evacuate::EvacuateArgs),
+    Quarantine(quarantine::QuarantineArgs),
     Status(status::StatusArgs),
     Explain(explain::ExplainArgs),
 }
@@ -62,11 +64,12 @@
     let moves = moves::move_args().map(OperatorCommand::Move);
     let endpoints = endpoints::endpoints_args().map(OperatorCommand::Endpoints);
     let evacuate = evacuate::evacuate_args().map(OperatorCommand::Evacuate);
+    let quarantine = quarantine::quarantine_args().map(OperatorCommand::Quarantine);
     let status = status::status_args().map(OperatorCommand::Status);
     let explain = explain::explain_args().map(OperatorCommand::Explain);
     construct!([
-        apply, show, default, exception, member, moves, endpoints, evacuate, status,
-        explain
+        apply, show, default, exception, member, moves, endpoints, evacuate, quarantine,
+        status, explain
     ])
 }
 
@@ -83,6 +86,7 @@
             OperatorCommand::Move(args) => moves::run(config, args).await,
             OperatorCommand::Endpoints(args) => endpoints::run(config, args).await,
             OperatorCommand::Evacuate(args) => evacuate::run(config, args).await,
+            OperatorCommand::Quarantine(args) => quarantine::run(config, args).await,
             OperatorCommand::Status(args) => status::run(config, args).await,
             OperatorCommand::Explain(args) => explain::run(config, args).await,
         }
--- a/crates/cli/tests/commands/main.rs
+++ b/crates/cli/tests/commands/main.rs
@@ -4,6 +4,7 @@
 mod cmd_apply;
 mod cmd_default;
 mod cmd_evacuate;
+mod cmd_quarantine;
 mod cmd_exception;
 mod cmd_explain;
 mod cmd_member;
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -32,6 +32,7 @@
 use crate::fanout_task::FanoutMessage;
 use crate::operator_api::OperatorApi;
 use crate::pin_task;
+use crate::quarantine_task;
 use crate::rollout_api::RolloutApi;
 use crate::rollout_task;
 use crate::roster_task;
@@ -139,6 +140,11 @@
             fanout.clone(),
             PeerClient::new(settings.system_key.clone()),
         );
+        let quarantines = quarantine_task::spawn(
+            Arc::clone(&settings.instance),
+            agreement.clone(),
+            PeerClient::new(settings.system_key.clone()),
+        );
         actix_rt::spawn(roster_task::run(agreement.clone(), fanout.clone()));
         actix_rt::spawn(pin_task::run(agreement.clone(), fanout.clone()));
         let rollout_api = RolloutApi {
@@ -157,6 +163,7 @@
             settings.system_key.clone(),
             rollout_api,
             evacuation_api,
+            quarantines,
         );
         let handler = middleware(api, Rc::new(handler));
         let main = HttpListener::spawn(sockets.main, CONNECTIONS_MAX, handler)?;
--- a/crates/control/src/control_handler.rs
+++ b/crates/control/src/control_handler.rs
@@ -11,10 +11,12 @@
 
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
+use cowslip_core::change::ConfigChange;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::agreement_messages::AgreeCall;
 use cowslip_wire::agreement_messages::MemberCall;
 use cowslip_wire::agreement_messages::MembersCall;
+use cowslip_wire::crash_messages::CrashCall;
 use cowslip_wire::evidence_messages::EvidenceCall;
 use cowslip_wire::evidence_messages::RolloutsCall;
 use cowslip_wire::follow_messages::ChunkCall;
@@ -35,11 +37,13 @@
 use cowslip_wire::messages::ShowCall;
 use cowslip_wire::messages::StatusCall;
 use cowslip_wire::messages::WireCall;
+use cowslip_wire::wall_clock;
 
 use crate::agreement_task::AgreementHandle;
 use crate::agreement_task::AgreementMessage;
 use crate::evacuation_api::EvacuationApi;
 use crate::fanout_task::FanoutMessage;
+use crate::quarantine_task::QuarantineHandle;
 use crate::rollout_api::RolloutApi;
 use crate::rollout_task::RolloutMessage;
 
@@ -55,15 +59,18 @@
     fanout: mpsc::Sender<FanoutMessage>,
     rollout_api: RolloutApi,
     evacuation_api: EvacuationApi,
+    quarantines: QuarantineHandle,
 }
 
 impl ControlHandler {
-    /// Creates a handler that passes requests to the tasks of the two APIs.
+    /// Creates a handler that passes requests to the tasks of the two APIs and to the
+    /// task of quarantines.
     pub fn new(
         operator_key: AccessKey,
         system_key: AccessKey,
         rollout_api: RolloutApi,
         evacuation_api: EvacuationApi,
+        quarantines: QuarantineHandle,
     ) -> Self {
         let dispatcher = RequestDispatcher {
             operator_key,
@@ -72,6 +79,7 @@
             fanout: rollout_api.fanout.clone(),
             rollout_api,
             evacuation_api,
+            quarantines,
         };
         Self {
             dispatcher: Rc::new(dispatcher),
@@ -170,6 +178,12 @@
                 sent.map_err(|_| stopping_reply())?;
                 Ok(encoded(&()))
             }
+            CrashCall::PATH => {
+                let call: CrashCall = self.read(&mut request).await?;
+                let sent = self.quarantines.send(call).await;
+                sent.map_err(|_| stopping_reply())?;
+                Ok(encoded(&()))
+            }
             RolloutsCall::PATH => {
                 let call: RolloutsCall = self.read(&mut request).await?;
                 let lines = self.rollout_api.lines(call).await;
@@ -189,6 +203,9 @@
         if let Err(refused) = self.evacuation_api.prepare_change(&mut entry).await {
             return Ok(LeaderAnswer::Answered(refused));
         }
+        if let ConfigChange::Quarantine(_) = &entry.change {
+            entry.at_ms = wall_clock::millis();
+        }
         self.ask_agreement(|reply| AgreementMessage::Change(Box::new(entry), reply))
             .await
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod operator_api;
 pub mod peer_sender;
 pub mod pin_task;
+pub mod quarantine_task;
 pub mod rollout_api;
 pub mod rollout_task;
 pub mod roster_task;
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -10,6 +10,7 @@
 use crate::document::DocumentFault;
 use crate::document::ExceptionEntry;
 use crate::document::FleetDocument;
+use crate::quarantine::QuarantineChange;
 use crate::rollout::rollout_change::MoveChange;
 use crate::tuning::TuningKey;
 use crate::version::ConfigVersion;
@@ -50,6 +51,8 @@
     Move(MoveChange),
     /// Evacuate a failure domain, or end its evacuation.
     Evacuate(EvacuationChange),
+    /// Refuse a request that crashes backend servers, or send it again.
+    Quarantine(QuarantineChange),
 }
 
 /// An operator's order about the backend servers of a failure domain.
@@ -118,6 +121,7 @@
             ),
             Self::Move(change) => change.summary(),
             Self::Evacuate(change) => change.summary(),
+            Self::Quarantine(change) => change.summary(),
         }
     }
 }
--- a/crates/core/src/config_delta.rs
+++ b/crates/core/src/config_delta.rs
@@ -22,6 +22,7 @@
 use crate::document::LabelTable;
 use crate::document::RouteSpec;
 use crate::document::ServiceSpec;
+use crate::quarantine::QuarantineTable;
 use crate::tuning::TuningKey;
 use crate::version::ConfigVersion;
 
@@ -60,6 +61,8 @@
     labels: Option<LabelTable>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     evacuations: Option<EvacuationTable>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    quarantines: Option<QuarantineTable>,
 }
 
 /// The reason why a delta cannot be applied; the follower then requests a whole
@@ -110,6 +113,8 @@
             labels: (old.labels != new.labels).then(|| new.labels.clone()),
             evacuations: (old.evacuations != new.evacuations)
                 .then(|| new.evacuations.clone()),
+            quarantines: (old.quarantines != new.quarantines)
+                .then(|| new.quarantines.clone()),
         };
         delta.diff_services(old, new);
         delta.diff_defaults(old, new);
@@ -204,6 +209,11 @@
                 .as_ref()
                 .unwrap_or(&old.evacuations)
                 .clone(),
+            quarantines: self
+                .quarantines
+                .as_ref()
+                .unwrap_or(&old.quarantines)
+                .clone(),
         };
         for name in &self.services_removed {
             document.services.remove(name);
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -162,6 +162,11 @@
         if let ConfigChange::Evacuate(change) = &entry.change {
             return edit_evacuations(document, change, version, entry.at_ms);
         }
+        if let ConfigChange::Quarantine(change) = &entry.change {
+            let mut edited = FleetDocument::clone(document);
+            let applied = change.apply(&mut edited.quarantines, version, entry.at_ms);
+            return applied.map(|()| edited).map_err(|fault| vec![fault]);
+        }
         if let ConfigChange::Revise(revision) = &entry.change {
             check_revision_number(revision, self.revision)?;
         }
@@ -226,6 +231,7 @@
     keep_service_versions(current, &mut edited);
     edited.holders = current.holders.clone();
     edited.evacuations = current.evacuations.clone();
+    edited.quarantines = current.quarantines.clone();
     edited
 }
 
@@ -318,6 +324,7 @@
             edited.holders = document.holders.clone();
             // A file that was written before an evacuation must not end it.
             edited.evacuations = document.evacuations.clone();
+            edited.quarantines = document.quarantines.clone();
         }
         ConfigChange::Revise(revision) => {
             edited = revision.delta.edit(document);
@@ -329,9 +336,11 @@
         ConfigChange::SetHolders(roster) => edited.holders = roster.clone(),
         ConfigChange::SetDefault { key, value } => edited.defaults.set(*key, *value),
         ConfigChange::AddException(entry) => edited.exceptions.push(entry.clone()),
-        // Changes of a move are applied by the registry of moves instead, and
-        // evacuations by `edit_evacuations`.
-        ConfigChange::Move(_) | ConfigChange::Evacuate(_) => {}
+        // Changes of a move are applied by the registry of moves instead,
+        // evacuations by `edit_evacuations`, and quarantines by their table.
+        ConfigChange::Move(_)
+        | ConfigChange::Evacuate(_)
+        | ConfigChange::Quarantine(_) => {}
         ConfigChange::RemoveException { id } => {
             let exceptions_before = edited.exceptions.len();
             edited.exceptions.retain(|entry| entry.id != *id);
--- a/crates/core/src/crash_suspects.rs
+++ b/crates/core/src/crash_suspects.rs
@@ -10,6 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::call_fingerprint::CallFingerprint;
 use crate::load::call_queue::CallTicket;
 
@@ -22,7 +25,7 @@
 const COMPLETED_MAX: usize = 1_024;
 
 /// A call at a backend server, as far as crashes are concerned.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectCall {
     /// What the call's repeats have in common with it.
     pub fingerprint: CallFingerprint,
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::claim::HolderRoster;
+use crate::quarantine::QuarantineTable;
 use crate::tuning::TuningKey;
 use crate::tuning::TuningTable;
 use crate::version::ConfigVersion;
@@ -50,6 +51,10 @@
     /// of their own, not with the rest of the document.
     #[serde(default, skip_serializing_if = "EvacuationTable::is_empty")]
     pub evacuations: EvacuationTable,
+    /// Requests that are refused because backend servers crash under them; set by the
+    /// leader, and ended by it or by operators' orders.
+    #[serde(default, skip_serializing_if = "QuarantineTable::is_empty")]
+    pub quarantines: QuarantineTable,
 }
 
 impl FleetDocument {
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -65,6 +65,8 @@
         Draining => "draining",
         /// The backend server stands in a failure domain that is evacuated.
         Evacuated => "evacuated",
+        /// Backend servers crash under the request.
+        Quarantined => "quarantined",
         /// The backend server answered that it did not run the call.
         ServerRefused => "server-refused",
         /// The backend server has not announced itself to its node.
--- a/crates/core/tests/config_delta.rs
+++ b/crates/core/tests/config_delta.rs
@@ -21,6 +21,7 @@
 use cowslip_core::document::RouteSpec;
 use cowslip_core::document::ServiceSpec;
 use cowslip_core::follower_queue::FollowerState;
+use cowslip_core::quarantine::QuarantineEntry;
 use cowslip_core::snapshot_chunks::ChunkAssembly;
 use cowslip_core::snapshot_chunks::ChunkError;
 use cowslip_core::snapshot_chunks::ChunkedSnapshot;
@@ -84,7 +85,16 @@
     let key = prop::sample::select(TuningKey::ALL);
     let defaults = prop::collection::vec((key, 1..10_u64), 0..4);
     let evacuations = prop::collection::btree_map(0..3_u8, 0..3_u64, 0..3);
-    (services, routes, exceptions, defaults, evacuations).prop_map(|drawn| {
+    let quarantines = prop::collection::btree_map(0..3_u8, 1..3_u32, 0..3);
+    let drawn = (
+        services,
+        routes,
+        exceptions,
+        defaults,
+        evacuations,
+        quarantines,
+    );
+    drawn.prop_map(|drawn| {
         let mut document = FleetDocument::default();
         for (name, spec) in drawn.0 {
             let name: Arc<str> = format!("service-{name}").into();
@@ -114,6 +124,21 @@
                 .evacuations
                 .insert(format!("domain-{domain}").into(), entry);
         }
+        for (number, crashes) in drawn.5 {
+            let digits = format!("{number:032x}");
+            let fingerprint = digits.parse().expect("a fingerprint");
+            let entry = QuarantineEntry {
+                version: ConfigVersion::new(1, 1),
+                service: "service-1".into(),
+                route: "/route-1".into(),
+                crashes,
+                since_ms: 1,
+                until_ms: 2,
+                times: 1,
+                ended: crashes == 2,
+            };
+            document.quarantines.insert(fingerprint, entry);
+        }
         document
     })
 }
--- /dev/null
+++ b/crates/core/tests/quarantines.rs
@@ -0,0 +1,266 @@
+//! Requests under which backend servers crash: which are quarantined, and for how long.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use cowslip_core::call_fingerprint::CallFingerprint;
+use cowslip_core::call_fingerprint::RequestParts;
+use cowslip_core::change::ChangeEntry;
+use cowslip_core::change::ChangeOutcome;
+use cowslip_core::change::ConfigChange;
+use cowslip_core::control_state::ControlState;
+use cowslip_core::crash_suspects::SuspectCall;
+use cowslip_core::crash_tally::CrashRecord;
+use cowslip_core::crash_tally::CrashReport;
+use cowslip_core::crash_tally::CrashTally;
+use cowslip_core::crash_tally::CRASH_WINDOW;
+use cowslip_core::document::FleetDocument;
+use cowslip_core::quarantine::QuarantineChange;
+use cowslip_core::quarantine::QuarantineTable;
+use cowslip_core::quarantine::PROBATION;
+use cowslip_core::quarantine::QUARANTINES_MAX;
+use cowslip_core::version::ConfigVersion;
+
+const NOW_MS: u64 = 1_796_000_000_000;
+
+fn call(path: &str) -> SuspectCall {
+    let parts = RequestParts {
+        method: "GET",
+        host: "fleet.example",
+        target: path,
+        customer: "",
+        caller: "documents",
+        body: b"",
+    };
+    SuspectCall {
+        fingerprint: CallFingerprint::of(&parts),
+        service: "ledger".into(),
+        route: "/harvest".into(),
+    }
+}
+
+fn crash(number: u64, paths: &[&str]) -> CrashRecord {
+    CrashRecord {
+        number,
+        age_ms: 0,
+        calls: paths.iter().map(|path| call(path)).collect(),
+    }
+}
+
+fn report(node: &str, crashes: Vec<CrashRecord>) -> CrashReport {
+    CrashReport {
+        node: node.into(),
+        crashes,
+    }
+}
+
+/// Applies the changes that are due; returns them.
+fn apply_due(
+    tally: &mut CrashTally,
+    now_ms: u64,
+    table: &mut QuarantineTable,
+) -> Vec<QuarantineChange> {
+    let due = tally.changes_due(now_ms, table);
+    for change in &due {
+        let applied = change.apply(table, ConfigVersion::new(1, 2), now_ms);
+        applied.expect("a change that is due fits");
+    }
+    due
+}
+
+fn blocked(table: &QuarantineTable) -> Vec<CallFingerprint> {
+    let blocking = table.iter().filter(|(_, entry)| entry.is_blocking());
+    blocking.map(|(fingerprint, _)| *fingerprint).collect()
+}
+
+fn crash_thrice(tally: &mut CrashTally, now_ms: u64) {
+    tally.record_report(now_ms, report("node-1", vec![crash(1, &["/bad", "/a"])]));
+    tally.record_report(now_ms, report("node-2", vec![crash(1, &["/bad", "/b"])]));
+    tally.record_report(now_ms, report("node-3", vec![crash(1, &["/bad", "/a"])]));
+}
+
+// Guards against a request that crashes one server after another, and against refusing
+// the calls that were in flight beside it.
+#[test]
+fn only_the_request_of_three_crashes_is_quarantined() {
+    let mut tally = CrashTally::default();
+    let mut table = QuarantineTable::new();
+    tally.record_report(NOW_MS, report("node-1", vec![crash(1, &["/bad", "/a"])]));
+    tally.record_report(NOW_MS, report("node-2", vec![crash(1, &["/bad", "/b"])]));
+    assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
+    tally.record_report(NOW_MS, report("node-3", vec![crash(1, &["/bad", "/a"])]));
+    apply_due(&mut tally, NOW_MS, &mut table);
+    assert_eq!(blocked(&table), vec![call("/bad").fingerprint]);
+    assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
+}
+
+// Nodes repeat their reports, so that a lost one or a new leader does no harm.
+#[test]
+fn a_repeated_report_counts_once() {
+    let mut tally = CrashTally::default();
+    let mut table = QuarantineTable::new();
+    for repeat in 0..5 {
+        let crashes = vec![crash(1, &["/bad"]), crash(2, &["/bad"])];
+        tally.record_report(NOW_MS + repeat, report("node-1", crashes));
+    }
+    assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
+    let crashes = vec![crash(2, &["/bad"]), crash(3, &["/bad"])];
+    tally.record_report(NOW_MS + 9, report("node-1", crashes));
+    assert_eq!(apply_due(&mut tally, NOW_MS + 9, &mut table).len(), 1);
+}
+
+#[test]
+fn crashes_far_apart_make_no_request_guilty() {
+    let mut tally = CrashTally::default();
+    let mut table = QuarantineTable::new();
+    let apart_ms = CRASH_WINDOW.as_millis() as u64 / 2;
+    for number in 0..20 {
+        let now_ms = NOW_MS + number * apart_ms;
+        tally.record_report(now_ms, report("node-1", vec![crash(number, &["/bad"])]));
+        assert_eq!(apply_due(&mut tally, now_ms, &mut table), Vec::new());
+    }
+}
+
+// A request that was refused wrongly is sent again by itself; one that goes on to crash
+// servers is refused at its next crash, for longer.
+#[test]
+fn a_quarantine_ends_and_begins_again_at_the_next_crash() {
+    let mut tally = CrashTally::default();
+    let mut table = QuarantineTable::new();
+    crash_thrice(&mut tally, NOW_MS);
+    apply_due(&mut tally, NOW_MS, &mut table);
+    let bad = call("/bad").fingerprint;
+    let first_ms = table[&bad].until_ms - NOW_MS;
+    let mut now_ms = table[&bad].until_ms;
+    apply_due(&mut tally, now_ms, &mut table);
+    assert_eq!(blocked(&table), Vec::new());
+    // The crashes of before the end do not count again.
+    assert_eq!(apply_due(&mut tally, now_ms + 1, &mut table), Vec::new());
+    now_ms += 2;
+    tally.record_report(now_ms, report("node-4", vec![crash(1, &["/bad", "/c"])]));
+    apply_due(&mut tally, now_ms, &mut table);
+    assert_eq!(blocked(&table), vec![bad]);
+    assert_eq!(table[&bad].until_ms - now_ms, 2 * first_ms);
+    assert_eq!(table[&bad].crashes, 4);
+    now_ms = table[&bad].until_ms;
+    apply_due(&mut tally, now_ms, &mut table);
+    now_ms += PROBATION.as_millis() as u64;
+    apply_due(&mut tally, now_ms, &mut table);
+    assert!(table.is_empty());
+}
+
+// Guards against an order that is undone by what the leader, or the next one, knew
+// before it.
+#[test]
+fn an_operator_lifts_a_quarantine() {
+    let mut table = QuarantineTable::new();
+    let mut tally = CrashTally::default();
+    crash_thrice(&mut tally, NOW_MS);
+    apply_due(&mut tally, NOW_MS, &mut table);
+    let fingerprint = call("/bad").fingerprint;
+    let lift = QuarantineChange::End { fingerprint };
+    let version = ConfigVersion::new(1, 3);
+    assert!(lift.apply(&mut table, version, NOW_MS + 5).is_ok());
+    assert!(lift.apply(&mut table, version, NOW_MS + 6).is_err());
+    assert_eq!(apply_due(&mut tally, NOW_MS + 7, &mut table), Vec::new());
+    let mut successor = CrashTally::default();
+    let late = CrashRecord {
+        age_ms: 8,
+        ..crash(1, &["/bad"])
+    };
+    for node in ["node-1", "node-2", "node-3"] {
+        successor.record_report(NOW_MS + 8, report(node, vec![late.clone()]));
+    }
+    assert_eq!(
+        apply_due(&mut successor, NOW_MS + 8, &mut table),
+        Vec::new()
+    );
+}
+
+#[test]
+fn the_table_is_bounded() {
+    let mut table = QuarantineTable::new();
+    for number in 0..2 * QUARANTINES_MAX as u64 {
+        let suspect = call(&format!("/bad/{number}"));
+        let start = QuarantineChange::Start {
+            fingerprint: suspect.fingerprint,
+            service: suspect.service,
+            route: suspect.route,
+            crashes: 3,
+        };
+        let version = ConfigVersion::new(1, number);
+        let applied = start.apply(&mut table, version, NOW_MS + number);
+        assert!(applied.is_ok());
+        assert!(table.len() <= QUARANTINES_MAX);
+        assert!(table[&suspect.fingerprint].is_blocking());
+    }
+}
+
+fn entry(request_id: &str, change: ConfigChange) -> ChangeEntry {
+    ChangeEntry {
+        request_id: request_id.into(),
+        expected: None,
+        at_ms: NOW_MS,
+        change,
+    }
+}
+
+// Guards against an operator's document that ends a quarantine, because it was written
+// before it.
+#[test]
+fn an_applied_document_keeps_the_quarantines() {
+    let mut state = ControlState::default();
+    let suspect = call("/bad");
+    let start = QuarantineChange::Start {
+        fingerprint: suspect.fingerprint,
+        service: suspect.service,
+        route: suspect.route,
+        crashes: 3,
+    };
+    let changes = [
+        ConfigChange::Quarantine(start),
+        ConfigChange::Apply(FleetDocument::default()),
+    ];
+    for (number, change) in changes.into_iter().enumerate() {
+        let version = ConfigVersion::new(1, number as u64 + 1);
+        let applied = state.apply(version, &entry(&format!("r-{number}"), change));
+        assert_eq!(applied, ChangeOutcome::Accepted { version });
+    }
+    let document = &state.snapshot().document;
+    assert_eq!(blocked(&document.quarantines), vec![suspect.fingerprint]);
+}
+
+proptest! {
+    // Whatever is reported, lost, repeated and crossed: a request is refused only after
+    // three crashes that had it in flight, and then at once.
+    #[test]
+    fn a_request_is_refused_from_its_third_crash_on(
+        crashes in prop::collection::vec(
+            (0..4_u8, prop::collection::vec(0..5_u8, 1..3)),
+            1..12,
+        ),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 1..40),
+    ) {
+        let mut tally = CrashTally::default();
+        let mut table = QuarantineTable::new();
+        let mut reported = std::collections::BTreeSet::new();
+        for index in order {
+            let at = index.index(crashes.len());
+            let (node, calls) = &crashes[at];
+            reported.insert(at);
+            let paths: Vec<String> = calls.iter().map(|n| format!("/{n}")).collect();
+            let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
+            let node = Arc::<str>::from(format!("node-{node}"));
+            let record = crash(at as u64, &paths);
+            tally.record_report(NOW_MS, report(&node, vec![record]));
+            apply_due(&mut tally, NOW_MS, &mut table);
+            for path in 0..5_u8 {
+                let under = reported.iter().filter(|at| crashes[**at].1.contains(&path));
+                let fingerprint = call(&format!("/{path}")).fingerprint;
+                let refused = blocked(&table).contains(&fingerprint);
+                prop_assert_eq!(refused, under.count() >= 3);
+            }
+        }
+    }
+}
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -97,7 +97,7 @@
         let body = body.buffered();
         CallFingerprint::of(&RequestParts {
             method: self.method.as_str(),
-            host: text(HOST.as_str()),
+            host: &host_name(text(HOST.as_str())),
             target: &target,
             customer: text(call_headers::CUSTOMER),
             caller: caller.unwrap_or(""),
@@ -128,6 +128,12 @@
     }
 }
 
+/// Returns a host in lower case and without its port.
+pub fn host_name(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
 /// Body of a request.
 pub enum CallBody {
     /// Completely buffered; can be sent again.
--- a/crates/node/src/claim_client.rs
+++ b/crates/node/src/claim_client.rs
@@ -92,7 +92,7 @@
 }
 
 fn refused(reason: RefusalReason, verdict: CallVerdict) -> ClaimDenial {
-    ClaimDenial::Refused(CallRefusal { reason, verdict })
+    ClaimDenial::Refused(CallRefusal::new(reason, verdict))
 }
 
 /// Returns the denial for a claim that ended with `outcome`.
--- /dev/null
+++ b/crates/node/src/crash_task.rs
@@ -0,0 +1,144 @@
+//! Reports the crashes of this node's backend server to the control instances.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::warn;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use cowslip_core::crash_suspects::SuspectCall;
+use cowslip_core::crash_tally::CrashRecord;
+use cowslip_core::crash_tally::CrashReport;
+use cowslip_core::crash_tally::CRASH_WINDOW;
+use cowslip_core::crash_tally::NODE_CRASHES_MAX;
+use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::crash_messages::CrashCall;
+use cowslip_wire::peer_client::PeerClient;
+use cowslip_wire::process_log::LogValue;
+use cowslip_wire::wall_clock;
+
+/// Interval at which recent crashes are reported again, for a report that was lost and
+/// for a control instance that has just begun to lead.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Timeout of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after a failed report at which it is sent again.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Calls that one crash cut and that may have caused it.
+pub type CutCalls = Vec<SuspectCall>;
+
+struct CrashReporter {
+    node: Arc<str>,
+    client: PeerClient,
+    control: watch::Receiver<SocketAddr>,
+    crashes: VecDeque<KeptCrash>,
+    last_number: u64,
+}
+
+struct KeptCrash {
+    number: u64,
+    at: BootInstant,
+    calls: CutCalls,
+}
+
+/// Starts reporting the crashes received on `crashes` to the control instance in use.
+pub fn spawn(
+    node: Arc<str>,
+    client: PeerClient,
+    control: watch::Receiver<SocketAddr>,
+    crashes: mpsc::UnboundedReceiver<CutCalls>,
+) {
+    let reporter = CrashReporter {
+        node,
+        client,
+        control,
+        crashes: VecDeque::new(),
+        // The clock makes the numbers of this process differ from its predecessor's.
+        last_number: wall_clock::millis(),
+    };
+    actix_rt::spawn(reporter.run(crashes));
+}
+
+impl CrashReporter {
+    async fn run(mut self, mut crashes: mpsc::UnboundedReceiver<CutCalls>) {
+        let mut pause = REPEAT_INTERVAL;
+        loop {
+            let received = if self.crashes.is_empty() {
+                crashes.recv().await.map(Some)
+            } else {
+                let next = actix_rt::time::timeout(pause, crashes.recv()).await;
+                next.map_or(Some(None), |received| received.map(Some))
+            };
+            let Some(received) = received else {
+                return;
+            };
+            if let Some(calls) = received {
+                self.keep(calls);
+            }
+            while let Ok(calls) = crashes.try_recv() {
+                self.keep(calls);
+            }
+            self.forget_old();
+            pause = if self.report().await {
+                REPEAT_INTERVAL
+            } else {
+                RETRY_DELAY
+            };
+        }
+    }
+
+    fn keep(&mut self, calls: CutCalls) {
+        if calls.is_empty() {
+            return;
+        }
+        self.last_number += 1;
+        self.crashes.push_back(KeptCrash {
+            number: self.last_number,
+            at: BootInstant::now(),
+            calls,
+        });
+        if self.crashes.len() > NODE_CRASHES_MAX {
+            self.crashes.pop_front();
+        }
+    }
+
+    fn forget_old(&mut self) {
+        let is_old = |crash: &KeptCrash| crash.at.elapsed() >= CRASH_WINDOW;
+        while self.crashes.front().is_some_and(is_old) {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Sends all recent crashes. Returns whether a control instance took them.
+    async fn report(&self) -> bool {
+        if self.crashes.is_empty() {
+            return true;
+        }
+        let crashes = self.crashes.iter().map(|crash| CrashRecord {
+            number: crash.number,
+            age_ms: crash.at.elapsed().as_millis() as u64,
+            calls: crash.calls.clone(),
+        });
+        let call = CrashCall {
+            reports: vec![CrashReport {
+                node: Arc::clone(&self.node),
+                crashes: crashes.collect(),
+            }],
+        };
+        let address = *self.control.borrow();
+        let sent = self.client.send(address, &call, REPORT_TIMEOUT).await;
+        if let Err(error) = &sent {
+            warn!(
+                "event=crashes-failed process=node control={address} error={}",
+                LogValue(error)
+            );
+        }
+        sent.is_ok()
+    }
+}
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -59,6 +59,7 @@
 use crate::hop::HopResponse;
 use crate::keyed_call;
 use crate::node_stage::NodeStage;
+use crate::quarantine_list::QuarantineList;
 use crate::refusal_reply::refusal_reply;
 
 use self::try_guard::TryGuard;
@@ -86,6 +87,8 @@
     pub entry: mpsc::Sender<EntryMessage>,
     /// Claims the keys of calls that carry an idempotency key.
     pub claims: Rc<ClaimClient>,
+    /// Requests that are not sent to backend servers.
+    pub quarantines: QuarantineList,
     /// Counters of the entry side.
     pub metrics: CallMetrics,
     /// Log lines about individual calls.
@@ -132,10 +135,7 @@
 }
 
 fn not_run(reason: RefusalReason) -> CallRefusal {
-    CallRefusal {
-        reason,
-        verdict: CallVerdict::NotRun,
-    }
+    CallRefusal::new(reason, CallVerdict::NotRun)
 }
 
 impl EntryProxy {
@@ -209,6 +209,9 @@
         let path = request.path();
         let call =
             key.map(|key| KeyedCall::new(&customer_name, path, &key, &parts, &body));
+        if let Err(refusal) = self.check_quarantine(&parts, &body) {
+            return self.refuse(call, refusal).await;
+        }
         let planned = match self.admit(head, stage).await {
             Ok(planned) => planned,
             Err(refusal) => return self.refuse(call, refusal).await,
@@ -225,10 +228,26 @@
                 .run_claimed(&id, call, planned, &parts, &mut body)
                 .await
         });
-        running.await.unwrap_or(Err(CallRefusal {
-            reason: RefusalReason::ClaimUnanswered,
-            verdict: CallVerdict::MayHaveRun,
-        }))
+        running.await.unwrap_or(Err(CallRefusal::new(
+            RefusalReason::ClaimUnanswered,
+            CallVerdict::MayHaveRun,
+        )))
+    }
+
+    /// Refuses a request under which backend servers crash.
+    fn check_quarantine(
+        &self,
+        parts: &CallParts,
+        body: &CallBody,
+    ) -> Result<(), CallRefusal> {
+        let fingerprint = || parts.fingerprint(body, self.service.as_deref());
+        let Some(left) = self.quarantines.time_left(fingerprint) else {
+            return Ok(());
+        };
+        Err(CallRefusal {
+            retry_in: Some(left),
+            ..not_run(RefusalReason::Quarantined)
+        })
     }
 
     /// Asks the entry task for the first attempt's server.
@@ -287,10 +306,10 @@
                 self.claims.record_end(claim, end).await;
                 Err(refusal)
             }
-            Err(_) => Err(CallRefusal {
-                reason: RefusalReason::DeadlinePassed,
-                verdict: CallVerdict::MayHaveRun,
-            }),
+            Err(_) => Err(CallRefusal::new(
+                RefusalReason::DeadlinePassed,
+                CallVerdict::MayHaveRun,
+            )),
         }
     }
 
@@ -373,10 +392,7 @@
         answer: oneshot::Receiver<RoutingResult>,
         so_far: CallVerdict,
     ) -> RoutingResult {
-        let stopping = CallRefusal {
-            reason: RefusalReason::Stopping,
-            verdict: so_far,
-        };
+        let stopping = CallRefusal::new(RefusalReason::Stopping, so_far);
         if self.entry.send(message).await.is_err() {
             return Err(stopping);
         }
@@ -535,9 +551,7 @@
         .uri()
         .authority()
         .map(|authority| authority.as_str());
-    let host = authority.or(named).unwrap_or_default();
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    name.to_ascii_lowercase()
+    call_forward::host_name(authority.or(named).unwrap_or_default())
 }
 
 /// Returns whether a server's error response may be retried on another server:
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -103,6 +103,19 @@
     pub reason: RefusalReason,
     /// Whether the call may have run.
     pub verdict: CallVerdict,
+    /// When the caller may come back, if the reason alone does not tell.
+    pub retry_in: Option<Duration>,
+}
+
+impl CallRefusal {
+    /// A refusal whose reason tells when the caller may come back.
+    pub const fn new(reason: RefusalReason, verdict: CallVerdict) -> Self {
+        Self {
+            reason,
+            verdict,
+            retry_in: None,
+        }
+    }
 }
 
 /// Decision of the entry task: the next attempt, or a refusal.
@@ -336,10 +349,10 @@
             idempotent: head.idempotent,
             deadline: head.deadline,
         };
-        let mut plan = self.router.plan(now, &head).map_err(|reason| CallRefusal {
-            reason,
-            verdict: CallVerdict::NotRun,
-        })?;
+        let mut plan = self
+            .router
+            .plan(now, &head)
+            .map_err(|reason| CallRefusal::new(reason, CallVerdict::NotRun))?;
         if self.may_come_from_own_server(&plan) {
             self.router.charge_repeats(&mut plan, repeats);
         }
@@ -380,10 +393,7 @@
                 server,
                 retry,
             }),
-            Err(reason) => Err(CallRefusal {
-                reason,
-                verdict: plan.verdict,
-            }),
+            Err(reason) => Err(CallRefusal::new(reason, plan.verdict)),
         }
     }
 
@@ -402,10 +412,7 @@
         let server = &failed.server;
         match self.router.failed(now, &mut plan, server, failure) {
             NextStep::Retry(reason) => self.begin_try(now, plan, Some(reason)),
-            NextStep::Refuse(reason) => Err(CallRefusal {
-                reason,
-                verdict: plan.verdict,
-            }),
+            NextStep::Refuse(reason) => Err(CallRefusal::new(reason, plan.verdict)),
         }
     }
 
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -42,6 +42,7 @@
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
+use crate::crash_task::CutCalls;
 use crate::gate_metrics::GateMetrics;
 use crate::server_probe::ProbeResult;
 use crate::server_probe::RunningProbe;
@@ -263,7 +264,15 @@
     /// Slots granted since the start.
     granted: u64,
     announcer: EndpointAnnouncer,
-    records: mpsc::UnboundedSender<EndpointRecord>,
+    outputs: GateOutputs,
+}
+
+/// Where the task sends what it finds.
+pub struct GateOutputs {
+    /// Each change of the endpoint's record.
+    pub records: mpsc::UnboundedSender<EndpointRecord>,
+    /// Calls that a crash of the backend server cut.
+    pub crashes: mpsc::UnboundedSender<CutCalls>,
 }
 
 /// Starts the task. It sends each change of the endpoint's record to
@@ -272,9 +281,10 @@
     endpoint: GateEndpoint,
     records: mpsc::UnboundedSender<EndpointRecord>,
 ) -> mpsc::UnboundedSender<GateMessage> {
+    let (crashes, _) = mpsc::unbounded_channel();
     spawn_with_status(
         endpoint,
-        records,
+        GateOutputs { records, crashes },
         GateStatus::default(),
         GateMetrics::default(),
     )
@@ -283,7 +293,7 @@
 /// Starts the task and keeps `status` and `metrics` up to date.
 pub fn spawn_with_status(
     endpoint: GateEndpoint,
-    records: mpsc::UnboundedSender<EndpointRecord>,
+    outputs: GateOutputs,
     status: GateStatus,
     metrics: GateMetrics,
 ) -> mpsc::UnboundedSender<GateMessage> {
@@ -312,7 +322,7 @@
         statement_log,
         granted: 0,
         announcer: EndpointAnnouncer::new(started_ms),
-        records,
+        outputs,
     };
     actix_rt::spawn(task.run(receiver));
     sender
@@ -695,6 +705,12 @@
                 LogValue(&suspect.route)
             );
         }
+        // A server whose calls are limited while it is cold crashes when it gets too
+        // many, whatever they are.
+        if !cold {
+            // The reporter ends only with the node.
+            let _ = self.outputs.crashes.send(suspects);
+        }
     }
 
     /// Logs the start and the end of the time in which calls to the server are
@@ -789,7 +805,7 @@
             return;
         };
         // The follow task ends only with the node.
-        let _ = self.records.send(record);
+        let _ = self.outputs.records.send(record);
     }
 
     fn configure(&mut self) {
--- a/crates/node/src/install_hooks.rs
+++ b/crates/node/src/install_hooks.rs
@@ -9,12 +9,15 @@
 use cowslip_core::document::FleetDocument;
 use cowslip_wire::http_listener::ListenerTimeouts;
 
+use crate::quarantine_list::QuarantineList;
 use crate::server_check::ConfiguredServer;
 
 /// Hooks that run when a configuration is installed.
 pub struct InstallHooks {
     /// Set once the first configuration is in force.
     pub configured: Rc<Cell<bool>>,
+    /// Requests that are not sent to backend servers.
+    pub quarantines: QuarantineList,
     /// The backend server that the settings name.
     pub server: ConfiguredServer,
     /// Timeouts of the callers' listener.
@@ -29,6 +32,7 @@
         if !self.configured.replace(true) && !evacuated {
             self.server.request_check(document);
         }
+        self.quarantines.install(&document.quarantines);
         let defaults = ListenerTimeouts::default();
         let millis = |set: Option<u64>| set.map(Duration::from_millis);
         let timeouts = ListenerTimeouts {
--- a/crates/node/src/keyed_call.rs
+++ b/crates/node/src/keyed_call.rs
@@ -125,10 +125,10 @@
         let Ok(chunk) = chunk else {
             // Nothing has been sent to the caller, so it can still get a refusal.
             claims.record_end(claim, RunEnd::Unknown).await;
-            return Err(CallRefusal {
-                reason: RefusalReason::ConnectionBroken,
-                verdict: CallVerdict::MayHaveRun,
-            });
+            return Err(CallRefusal::new(
+                RefusalReason::ConnectionBroken,
+                CallVerdict::MayHaveRun,
+            ));
         };
         buffered.extend_from_slice(&chunk);
         if buffered.len() > bytes_left {
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -28,6 +28,7 @@
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::claim_client::ClaimClient;
+use crate::crash_task;
 use crate::entry_handler::EntryHandler;
 use crate::entry_handler::EntryProxy;
 use crate::entry_task;
@@ -39,6 +40,7 @@
 use crate::gate_task;
 use crate::gate_task::GateEndpoint;
 use crate::gate_task::GateMessage;
+use crate::gate_task::GateOutputs;
 use crate::gate_task::GateStatus;
 use crate::gate_task::ServerReport;
 use crate::holder_task;
@@ -48,6 +50,7 @@
 use crate::node_stage::NodeStage;
 use crate::peer_handler::PeerHandler;
 use crate::peer_handler::PeerProxy;
+use crate::quarantine_list::QuarantineList;
 use crate::server_check;
 use crate::server_check::ConfiguredServer;
 
@@ -193,6 +196,7 @@
         let instance = Arc::clone(&settings.instance);
         let failure_domain = Arc::clone(&settings.failure_domain);
         let (records, published) = mpsc::unbounded_channel();
+        let (crashes, reported_crashes) = mpsc::unbounded_channel();
         let endpoint = GateEndpoint {
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
@@ -205,7 +209,7 @@
         let (checks, requested_checks) = mpsc::unbounded_channel();
         let gate = gate_task::spawn_with_status(
             endpoint,
-            records,
+            GateOutputs { records, crashes },
             gate_status.clone(),
             GateMetrics::new(&mut registry),
         );
@@ -218,6 +222,7 @@
             configured: Rc::new(Cell::new(false)),
             stage: Rc::new(Cell::new(NodeStage::Serving)),
         };
+        let quarantines = QuarantineList::default();
         let (listener_timeouts, timeouts_watch) =
             watch::channel(ListenerTimeouts::default());
         let entry = entry_task::spawn(
@@ -226,6 +231,7 @@
             gate.clone(),
             InstallHooks {
                 configured: Rc::clone(&status.configured),
+                quarantines: quarantines.clone(),
                 server,
                 listener_timeouts,
             },
@@ -250,6 +256,12 @@
             control.clone(),
             settings.evidence_pause,
         );
+        crash_task::spawn(
+            Arc::clone(&settings.instance),
+            peers.clone(),
+            control.clone(),
+            reported_crashes,
+        );
         let claims = ClaimClient::new(
             Arc::clone(&settings.instance),
             entry.clone(),
@@ -270,6 +282,7 @@
             gate_status: gate_status.clone(),
             entry,
             claims,
+            quarantines: quarantines.clone(),
             metrics: entry_metrics,
             log: CallLog::new("entry"),
         });
@@ -280,6 +293,7 @@
             system_key: settings.system_key.clone(),
             gate: gate.clone(),
             holder: holder_task::spawn(),
+            quarantines,
             next_ticket: Cell::new(0),
             metrics: server_metrics,
             log: CallLog::new("server"),
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -54,6 +54,7 @@
 use crate::holder_task::HolderMessage;
 use crate::hop::HopResponse;
 use crate::hop::SendObserver;
+use crate::quarantine_list::QuarantineList;
 use crate::refusal_reply::refusal_reply;
 
 /// Bytes read of a backend server's refusal, so that its connection can be
@@ -74,6 +75,8 @@
     pub gate: mpsc::UnboundedSender<GateMessage>,
     /// Channel to the task that holds claims for other nodes.
     pub holder: mpsc::Sender<HolderMessage>,
+    /// Requests that are not sent to the backend server.
+    pub quarantines: QuarantineList,
     /// Ticket for the next call.
     pub next_ticket: Cell<CallTicket>,
     /// Counters of the server side.
@@ -128,10 +131,7 @@
             }
             Err(failure) => {
                 self.metrics.refused(failure.reason);
-                let refusal = CallRefusal {
-                    reason: failure.reason,
-                    verdict: failure.verdict,
-                };
+                let refusal = CallRefusal::new(failure.reason, failure.verdict);
                 if failure.reason != RefusalReason::NoFreeSlot {
                     let refused = RefusedCall {
                         refusal,
@@ -176,7 +176,10 @@
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
         call.left = time_left(left, arrived)?;
         let fingerprint = parts.fingerprint(&body, caller.as_deref());
+        self.check_quarantine(fingerprint)?;
         let (grant, mut slot) = self.acquire_slot(call, fingerprint, notice).await?;
+        // The quarantine may have begun while the call waited.
+        self.check_quarantine(fingerprint)?;
         let left = deadline_budget::for_next_hop(time_left(left, arrived)?);
         let sent = BootInstant::now();
         let mut request = parts.hop_request(
@@ -226,6 +229,13 @@
         Ok(reply)
     }
 
+    fn check_quarantine(&self, fingerprint: CallFingerprint) -> Result<(), TryFailure> {
+        match self.quarantines.time_left(|| fingerprint) {
+            Some(_) => Err(not_run(RefusalReason::Quarantined)),
+            None => Ok(()),
+        }
+    }
+
     /// Tells the gate what the server states in its answer, if that may differ from
     /// what the gate knows. Returns a statement for the entry node, if the server
     /// makes one and names its run.
--- a/crates/node/src/refusal_reply.rs
+++ b/crates/node/src/refusal_reply.rs
@@ -30,7 +30,9 @@
         left,
         fractions: dialect.fractional_retry_after,
     };
-    let delay = retry_delay::retry_after(refusal.reason, caller, &mut rand::rng());
+    let delay = refusal
+        .retry_in
+        .or_else(|| retry_delay::retry_after(refusal.reason, caller, &mut rand::rng()));
     if let Some(delay) = delay.filter(|_| retryable) {
         let seconds = if dialect.fractional_retry_after {
             format!("{:.2}", delay.as_secs_f64())
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -29,6 +29,7 @@
 use cowslip_node::holder_task;
 use cowslip_node::peer_handler::PeerHandler;
 use cowslip_node::peer_handler::PeerProxy;
+use cowslip_node::quarantine_list::QuarantineList;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::access_key::KEY_HEADER;
 use cowslip_wire::http_listener::HttpHandler;
@@ -104,6 +105,7 @@
         gate_status: GateStatus::default(),
         system_key: AccessKey::new(KEY),
         gate,
+        quarantines: QuarantineList::default(),
         holder: holder_task::spawn(),
         next_ticket: Cell::new(0),
         log: CallLog::new("server"),
--- a/crates/node/tests/start_calls.rs
+++ b/crates/node/tests/start_calls.rs
@@ -28,6 +28,7 @@
 use cowslip_node::entry_task::OwnedHead;
 use cowslip_node::entry_task::RoutingResult;
 use cowslip_node::install_hooks::InstallHooks;
+use cowslip_node::quarantine_list::QuarantineList;
 use cowslip_node::server_check::ConfiguredServer;
 use cowslip_wire::http_listener::ListenerTimeouts;
 
@@ -40,6 +41,7 @@
     let (checks, _) = mpsc::unbounded_channel();
     let hooks = InstallHooks {
         configured: Rc::new(Cell::new(false)),
+        quarantines: QuarantineList::default(),
         server: ConfiguredServer {
             service: None,
             address: None,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim_messages;
 pub mod codec;
 pub mod command_args;
+pub mod crash_messages;
 pub mod evidence_messages;
 pub mod follow_messages;
 pub mod http_client;
