A quarantined request gets a retry time from nodes that do not know its end

What callers saw: 503 without Retry-After where the server's node knew the quarantine and the entry node did not yet. Change: without the quarantine's end, the time is the duration of a first quarantine.

--- a/crates/core/src/load/retry_delay.rs
+++ b/crates/core/src/load/retry_delay.rs
@@ -13,6 +13,7 @@
 
 use rand::Rng;
 
+use crate::quarantine::FIRST_DURATION;
 use crate::refusal::RefusalReason;
 
 /// Span of retries after a refusal for overload. Queues hold at most 1 s of
@@ -83,12 +84,16 @@
 }
 
 /// Returns when to retry after a refusal for `reason`; `None` if a later retry
-/// would get the same answer.
+/// would get the same answer. For a quarantined request it is the duration of a first
+/// quarantine, for nodes that do not know its end.
 pub fn retry_after(
     reason: RefusalReason,
     caller: CallerTime,
     rng: &mut impl Rng,
 ) -> Option<Duration> {
+    if reason == RefusalReason::Quarantined {
+        return Some(FIRST_DURATION);
+    }
     let cause = cause(reason)?;
     let fraction = rng.random_range(0.0..=1.0);
     let full_span = match cause {
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -19,7 +19,7 @@
 pub const QUARANTINES_MAX: usize = 256;
 
 /// Duration of the first quarantine of a request.
-const FIRST_DURATION: Duration = Duration::from_secs(300);
+pub const FIRST_DURATION: Duration = Duration::from_secs(300);
 
 /// Longest duration of a quarantine.
 const DURATION_MAX: Duration = Duration::from_secs(3_600);
