The host of a request may be an IPv6 address without a port

What callers saw: with the host [::1] no route of a virtual host was found, and such hosts were one to the fingerprint. Cause: the name was cut at the last colon, also within the brackets.

--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -130,7 +130,11 @@
 
 /// Returns a host in lower case and without its port.
 pub fn host_name(host: &str) -> String {
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    // The colons of an IPv6 address stand within brackets.
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if !port.contains(']') => name,
+        _ => host,
+    };
     name.to_ascii_lowercase()
 }
 
