Control instances export the counters of their sources

What operators saw: cowslip_source_* never reached /metrics. Cause: a second registry shadowed the one in which they were registered. Measured: the_metrics_of_all_parts_are_exported fails before and passes.

--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -111,7 +111,6 @@
             Arc::clone(&settings.failure_domain),
             SourceMetrics::new(&mut registry),
         );
-        let mut registry = Registry::default();
         let metrics = AgreementMetrics::new(&mut registry);
         let agreement = agreement_task::spawn(settings, fanout.clone(), metrics)?;
         let task = agreement.task.clone();
