A queued call that a stated limit keeps too long is refused when that shows

Cause: the number of calls that may wait was computed from the rate and the longest wait, as if none had waited yet and none stood before the first token. Change: a call that cannot be sent before it expires, in the order of expiry, is refused as queue-full, so that its entry node tries another server; a single one may always wait, because only an answer ends a limit. Checked when a call arrives, at a statement and at each wake.

--- a/crates/core/src/load/call_queue.rs
+++ b/crates/core/src/load/call_queue.rs
@@ -208,6 +208,11 @@
         self.by_expiry.first().map(|(at, _)| *at)
     }
 
+    /// When each call expires, earliest first.
+    pub fn expiries(&self) -> impl Iterator<Item = (Duration, CallTicket)> + '_ {
+        self.by_expiry.iter().copied()
+    }
+
     /// Removes any one call; used to empty the queue when its server leaves.
     pub fn take_any(&mut self) -> Option<CallTicket> {
         let (_, ticket) = *self.by_expiry.first()?;
--- a/crates/core/src/load/stated_limit.rs
+++ b/crates/core/src/load/stated_limit.rs
@@ -89,11 +89,23 @@
         Duration::from_secs_f64(lacking / rate)
     }
 
-    /// Calls that the server takes within `time`, at least one; `None` if it
-    /// states no limit.
-    pub fn calls_within(&self, time: Duration) -> Option<usize> {
-        let calls = (self.rate? * time.as_secs_f64()) as usize;
-        Some(calls.max(1))
+    /// Returns the first of several calls that cannot be sent before it expires, if
+    /// they are sent in the order of `expiries`. A single call always may wait: only
+    /// the answer to a call says that a limit has ended.
+    pub fn untimely_call(
+        &self,
+        now: Duration,
+        expiries: &[(Duration, CallTicket)],
+    ) -> Option<CallTicket> {
+        if expiries.len() < 2 {
+            return None;
+        }
+        for (ahead, (expiry, ticket)) in expiries.iter().enumerate() {
+            if now + self.wait(now, ahead) >= *expiry {
+                return Some(*ticket);
+            }
+        }
+        None
     }
 
     /// Reserves a token for a call that may be sent from now on.
--- a/crates/core/src/load/timely_queue.rs
+++ b/crates/core/src/load/timely_queue.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// When each call expires, earliest first.
+    pub fn expiries(&self) -> Vec<(Duration, CallTicket)> {
+        let expiries = self.timely.expiries().chain(self.late.expiries());
+        let mut expiries: Vec<(Duration, CallTicket)> = expiries.collect();
+        expiries.sort_unstable();
+        expiries
+    }
+
     /// Removes any one call; used to empty the queue when its server leaves.
     pub fn take_any(&mut self) -> Option<CallTicket> {
         self.timely.take_any().or_else(|| self.late.take_any())
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -599,6 +599,7 @@
     pub fn wake(&mut self, now: Duration) -> Vec<GateAction> {
         let mut actions = Vec::new();
         self.start_waiting(now, &mut actions);
+        self.evict_untimely(now, &mut actions);
         actions
     }
 
@@ -658,17 +659,26 @@
     fn evict_excess(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
         let allowed = self.limit.allowed();
         let capacity = self.standing.capacity(now, self.bounds.calls, allowed);
-        // Calls beyond what the server takes within the longest wait would only
-        // wait until it times out.
-        let paced = self.statements.limit().calls_within(self.bounds.wait);
-        let queue_max = paced.map_or(capacity, |paced| capacity.min(paced));
         let late_max = late_call_limit::waiting_max(allowed);
         while let Some(call) = self.queue.evict_late(late_max, self.order) {
             actions.push(GateAction::Refuse(call.ticket, RefusalReason::QueueFull));
         }
-        while let Some(call) = self.queue.evict(queue_max, self.order) {
+        while let Some(call) = self.queue.evict(capacity, self.order) {
             actions.push(GateAction::Refuse(call.ticket, RefusalReason::QueueFull));
         }
+        self.evict_untimely(now, actions);
+    }
+
+    /// Refuses calls that the stated limit would keep in the queue until they time out.
+    fn evict_untimely(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
+        let limit = self.statements.limit();
+        if limit.rate().is_none() {
+            return;
+        }
+        while let Some(ticket) = limit.untimely_call(now, &self.queue.expiries()) {
+            self.queue.remove(ticket);
+            actions.push(GateAction::Refuse(ticket, RefusalReason::QueueFull));
+        }
     }
 
     fn refuse_expired(&mut self, now: Duration, actions: &mut Vec<GateAction>) {
--- a/crates/core/tests/stated_limit.rs
+++ b/crates/core/tests/stated_limit.rs
@@ -299,6 +299,49 @@
     assert_eq!(server.gate.offer(server.now, 1, call), refused);
 }
 
+// Guards against calls that were queued before their server stated a limit and wait
+// until they time out, when another server could no longer answer in time.
+#[test]
+fn a_queued_call_that_the_limit_keeps_too_long_is_refused_when_it_begins() {
+    for queued_for in [0, 100, 300] {
+        let mut gate = gate();
+        let slots = u64::from(SLOTS);
+        let call = || OfferedCall {
+            target_left: None,
+            ..offered(false)
+        };
+        for ticket in 0..slots + 6 {
+            gate.offer(millis(1_000), ticket, call());
+        }
+        let stated_at = 1_000 + queued_for;
+        let stated = gate.record_statement(
+            millis(stated_at),
+            millis(stated_at - 20),
+            stating(3.0),
+        );
+        for action in &stated {
+            let GateAction::Refuse(_, reason) = action else {
+                panic!("started without a token: {action:?}");
+            };
+            assert_eq!(*reason, RefusalReason::QueueFull);
+        }
+        for ticket in 0..slots {
+            gate.end(millis(stated_at), ticket, SlotOutcome::Answered(millis(50)));
+        }
+        let mut started = 0;
+        for now in stated_at..stated_at + 2_000 {
+            for action in gate.wake(millis(now)) {
+                let GateAction::Start(ticket) = action else {
+                    panic!("queued for {queued_for} ms: {action:?} at {now} ms");
+                };
+                gate.record_sent(millis(now), ticket);
+                started += 1;
+            }
+        }
+        assert!(started >= 1, "queued for {queued_for} ms");
+    }
+}
+
 // Guards against a limit that is never lifted, and against one that is lifted by an
 // answer that the server gave before it stated the limit.
 #[test]
