The test of a stated limit loads the service so that each server is needed

Seen: a_server_gets_no_more_calls_than_it_states failed in 1 of 10 and 1 of 6 runs, with too few calls after the limit had ended. Cause, traced by arrivals for each server in half seconds: with one caller at each node the other servers have free slots all the time, entry nodes choose the one with the least expected loss, and any server may get no call for seconds; one of six got none in all runs. Change: nine callers a node and calls of 100 ms, so that the slots of the other servers do not suffice. All bounds stay.

--- a/crates/cli/tests/calls/stated_limits.rs
+++ b/crates/cli/tests/calls/stated_limits.rs
@@ -37,6 +37,11 @@
 /// Time after which a leaving server gets no calls.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Callers at each node and the time of a call, in milliseconds, so that the service's
+/// other servers have too few slots for all calls.
+const CALLERS_PER_NODE: usize = 9;
+const WORK_MS: u64 = 100;
+
 /// Interval between the calls of one caller.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -57,8 +62,10 @@
             other: Rc::default(),
         };
         for entry in entries {
-            let caller = stream.call_until_stopped(*entry);
-            stream.callers.push(actix_rt::spawn(caller));
+            for _ in 0..CALLERS_PER_NODE {
+                let caller = stream.call_until_stopped(*entry);
+                stream.callers.push(actix_rt::spawn(caller));
+            }
         }
         stream
     }
@@ -75,6 +82,7 @@
                 let call = CallRequest {
                     path: "/contracts/accept",
                     deadline_ms: Some(2_000),
+                    wait_ms: WORK_MS,
                     ..CallRequest::default()
                 };
                 let answer = call.send(entry, b"").await;
