--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -55,7 +55,7 @@
 use crate::entry_task::OwnedHead;
 use crate::entry_task::PlannedTry;
 use crate::entry_task::RoutingResult;
-use crate::gate_task::GateStatus;
+use crate::gate_messages::GateStatus;
 use crate::hop::HopResponse;
 use crate::keyed_call;
 use crate::node_stage::NodeStage;
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -37,9 +37,9 @@
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
-use crate::gate_task::GateBounds;
-use crate::gate_task::GateConfig;
-use crate::gate_task::GateMessage;
+use crate::gate_messages::GateBounds;
+use crate::gate_messages::GateConfig;
+use crate::gate_messages::GateMessage;
 use crate::install_hooks::InstallHooks;
 use crate::startup_queue::StartupQueue;
 
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -34,7 +34,7 @@
 
 use crate::entry_task::EntryMessage;
 use crate::follow_metrics::FollowMetrics;
-use crate::gate_task::GateMessage;
+use crate::gate_messages::GateMessage;
 
 /// Longest time past the poll wait before an answer counts as lost and the next
 /// control instance is tried.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod evidence_task;
 pub mod follow_metrics;
 pub mod follow_task;
+pub mod gate_messages;
 pub mod gate_metrics;
 pub mod gate_task;
 pub mod holder_task;
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -23,8 +23,8 @@
 use cowslip_wire::http_reply::HttpReply;
 
 use crate::entry_handler::EntryProxy;
-use crate::gate_task::GateMessage;
-use crate::gate_task::ServerAnnouncement;
+use crate::gate_messages::GateMessage;
+use crate::gate_messages::ServerAnnouncement;
 use crate::node_stage::NodeStage;
 
 /// Largest accepted announcement, in bytes. Announcements are a few lines of
--- a/crates/node/src/server_check.rs
+++ b/crates/node/src/server_check.rs
@@ -27,8 +27,8 @@
 use crate::call_dialect::CallDialect;
 use crate::call_forward::CallBody;
 use crate::call_pools::CallPools;
-use crate::gate_task::FoundRun;
-use crate::gate_task::GateMessage;
+use crate::gate_messages::FoundRun;
+use crate::gate_messages::GateMessage;
 use crate::hop::HopRequest;
 
 /// Timeout of a health check. A fully loaded server takes longer to answer, and
--- a/crates/node/src/server_probe.rs
+++ b/crates/node/src/server_probe.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::gate_task::GateMessage;
+use crate::gate_messages::GateMessage;
 
 /// Interval between probes while nothing listens, and the timeout of a probe.
 /// Shorter than a restart of a server.
