--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -5,7 +5,12 @@
 use actix_http::header::HeaderValue;
 use proptest::prelude::*;
 
+use cowslip_core::call_fingerprint::CallFingerprint;
+use cowslip_core::call_fingerprint::RequestParts;
 use cowslip_core::claim::ClaimKey;
+use cowslip_core::crash_suspects::SuspectCall;
+use cowslip_core::crash_tally::CrashRecord;
+use cowslip_core::crash_tally::CrashReport;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::verdict::CallVerdict;
 use cowslip_node::call_headers;
@@ -13,6 +18,8 @@
 use cowslip_wire::claim_messages::ClaimCall;
 use cowslip_wire::codec::decode;
 use cowslip_wire::codec::encode;
+use cowslip_wire::crash_messages::CrashCall;
+use cowslip_wire::evidence_messages::EvidenceCall;
 use cowslip_wire::follow_messages::ChunkCall;
 use cowslip_wire::follow_messages::FollowCall;
 use cowslip_wire::follow_messages::FollowReply;
@@ -26,6 +33,8 @@
 fn decode_all(bytes: &[u8]) {
     let _ = decode::<ClaimCall>(bytes);
     let _ = decode::<ChunkCall>(bytes);
+    let _ = decode::<CrashCall>(bytes);
+    let _ = decode::<EvidenceCall>(bytes);
     let _ = decode::<FollowCall>(bytes);
     let _ = decode::<FollowReply>(bytes);
     let _ = decode::<ReportCall>(bytes);
@@ -37,6 +46,31 @@
     let _ = serde_json::from_slice::<AnnounceBody>(bytes);
 }
 
+fn crash_call() -> CrashCall {
+    let parts = RequestParts {
+        method: "GET",
+        host: "records.example",
+        target: "/records/7",
+        customer: "anna",
+        caller: "",
+        body: b"",
+    };
+    CrashCall {
+        reports: vec![CrashReport {
+            node: "node-1".into(),
+            crashes: vec![CrashRecord {
+                number: 7,
+                age_ms: 20,
+                calls: vec![SuspectCall {
+                    fingerprint: CallFingerprint::of(&parts),
+                    service: "records".into(),
+                    route: "/records".into(),
+                }],
+            }],
+        }],
+    }
+}
+
 proptest! {
     // Guards against a panic on arbitrary bytes, which anyone who can connect to
     // a listener can send. A panic would end all calls in flight on the node.
@@ -59,6 +93,17 @@
         decode_all(&bytes);
     }
 
+    // Guards against a panic on a truncated or altered report of crashes, whose
+    // fingerprints are read by hand.
+    #[test]
+    fn broken_crash_reports_decode_or_fail(at in 0..200_usize, byte in any::<u8>()) {
+        let mut bytes = encode(&crash_call()).expect("the report can be encoded");
+        let at = at % bytes.len();
+        decode_all(&bytes[..at]);
+        bytes[at] = byte;
+        decode_all(&bytes);
+    }
+
     // Guards against a panic on an unusual value of the deadline header.
     #[test]
     fn any_deadline_parses_or_fails(bytes in prop::collection::vec(any::<u8>(), 0..60)) {
