--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -497,6 +497,9 @@
         let same_run = unchanged
             && self.server == Some(address)
             && self.gate.statements().run() == run.as_ref();
+        if !same_run && run.is_some() && self.may_have_crashed() {
+            self.record_crash(now);
+        }
         if !same_run || self.gate.is_draining() {
             self.gate.cold_mut().begin_run(now, cold_remaining);
             self.gate.statements_mut().begin_run(run);
@@ -557,7 +560,7 @@
         address: SocketAddr,
         cold_remaining: Option<Duration>,
     ) {
-        let replaced = self.gate.announced().is_some() && !self.gate.is_draining();
+        let replaced = self.may_have_crashed();
         if let Err(refusal) = self.presence.begin_run(address) {
             info!(
                 "event=run-refused process=node instance={} run={run} reason={}",
@@ -587,6 +590,12 @@
         self.publish();
     }
 
+    /// Whether another run that begins now shows that the last one ended without
+    /// notice.
+    fn may_have_crashed(&self) -> bool {
+        self.gate.announced().is_some() && !self.gate.is_draining()
+    }
+
     fn set_announced(&mut self, server: AnnouncedServer) {
         let known = self.gate.announced();
         if known.is_none_or(|known| known.version != server.version) {
--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -29,6 +29,7 @@
 
 use crate::observations::Observations;
 use crate::observations::ServerArrival;
+use crate::observations::ServerCrash;
 use crate::observations::StatementKind;
 use crate::observations::StatementSpan;
 
@@ -38,6 +39,9 @@
 /// Version of all backend servers.
 pub const VERSION: &str = "v1";
 
+/// Start of the path of a request that crashes the server; its number follows.
+pub const CRASHING_PATH: &str = "/work/crash-";
+
 /// Header of an answer with the indexes of the statement spans it belongs to,
 /// separated by commas.
 pub const STATEMENTS_HEADER: &str = "soak-statements";
@@ -82,6 +86,8 @@
     limit_span: Cell<Option<usize>>,
     /// Index of the span in which the server states that it is leaving.
     leaving_span: Cell<Option<usize>>,
+    /// Set while the server has crashed and is not back.
+    crashed: Cell<bool>,
 }
 
 impl RecordingServer {
@@ -100,6 +106,7 @@
             run: Cell::new(0),
             limit_span: Cell::new(None),
             leaving_span: Cell::new(None),
+            crashed: Cell::new(false),
         });
         let handler = Rc::new(RecordingHandler(Rc::clone(&state)));
         let listener = HttpListener::bind(listen, CONNECTIONS_MAX, handler)?;
@@ -152,10 +159,16 @@
     /// Ends the run of the server and begins another, which states nothing.
     pub fn begin_run(&self) {
         self.state.run.set(self.state.run.get() + 1);
+        self.state.crashed.set(false);
         self.state.change_span(&self.state.limit_span, None);
         self.state.change_span(&self.state.leaving_span, None);
     }
 
+    /// Whether a request has crashed the server, so that it needs another run.
+    pub fn has_crashed(&self) -> bool {
+        self.state.crashed.get()
+    }
+
     /// Asks the node to drain the server; returns whether the node accepted.
     pub async fn drain(&self, node: SocketAddr) -> bool {
         let client = Client::builder().timeout(NODE_TIMEOUT).finish();
@@ -190,6 +203,11 @@
         return http_reply::text(status, "another run of this server");
     }
     state.record_request(&id);
+    if let Some(number) = crashing_request(request.path()) {
+        state.crash(number);
+        // The crash breaks the connection.
+        std::future::pending::<()>().await;
+    }
     let body = match http_reply::read_body(&mut request, BODY_BYTES_MAX).await {
         Ok(body) => body,
         Err(error) => {
@@ -208,6 +226,11 @@
     reply
 }
 
+/// Returns the number in the path of a request that crashes servers.
+fn crashing_request(path: &str) -> Option<u64> {
+    path.strip_prefix(CRASHING_PATH)?.parse().ok()
+}
+
 impl ServerState {
     fn run_name(&self) -> Arc<str> {
         format!("server-{}-run-{}", self.number, self.run.get()).into()
@@ -250,6 +273,15 @@
         }
     }
 
+    fn crash(&self, number: u64) {
+        self.crashed.set(true);
+        let crashes = &mut self.observations.borrow_mut().crashes;
+        crashes.entry(number).or_default().push(ServerCrash {
+            server: self.number,
+            at: self.started.elapsed(),
+        });
+    }
+
     fn record_request(&self, id: &Arc<str>) {
         let now = self.started.elapsed();
         let mut observations = self.observations.borrow_mut();
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -83,6 +83,9 @@
     Leave(usize, Duration),
     /// Evacuates a failure domain and ends that again.
     Evacuate(usize, Duration),
+    /// Sends a request again and again that crashes each backend server that begins
+    /// it.
+    CrashingRequest(Duration),
     /// Kills all processes at once and restarts them.
     KillAll(Duration),
 }
@@ -109,6 +112,7 @@
             | Self::Limit(_, _, time)
             | Self::Leave(_, time)
             | Self::Evacuate(_, time)
+            | Self::CrashingRequest(time)
             | Self::Wipe(_, time)
             | Self::Replace(_, time)
             | Self::KillAll(time) => *time,
@@ -144,6 +148,10 @@
 /// Faults per second of the run; half of them overlap another one.
 const FAULTS_PER_SECOND: f64 = 0.8;
 
+/// Share of the seeds in which a request crashes servers. It is sent for longer than
+/// the effects of most other faults last.
+const CRASHING_REQUEST_SHARE: f64 = 0.4;
+
 /// Returns the faults of a run of length `time`, ordered by time.
 pub fn faults(seed: u64, time: Duration) -> Vec<TimedFault> {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -166,9 +174,23 @@
         }
         faults.push(TimedFault { at, fault });
     }
+    faults.extend(draw_crashing_request(seed, time));
+    faults.sort_by_key(|timed| timed.at);
     faults
 }
 
+/// Draws from a generator of its own, so that the other faults of a seed stay the same.
+fn draw_crashing_request(seed: u64, time: Duration) -> Option<TimedFault> {
+    let mut random = SmallRng::seed_from_u64(!seed);
+    if !random.random_bool(CRASHING_REQUEST_SHARE) {
+        return None;
+    }
+    let at = time.mul_f64(random.random_range(0.0..0.6));
+    let duration = Duration::from_millis(random.random_range(8_000..16_000));
+    let fault = Fault::CrashingRequest(duration);
+    Some(TimedFault { at, fault })
+}
+
 fn draw_fault(random: &mut SmallRng) -> Fault {
     let duration = Duration::from_millis(random.random_range(200..2_500));
     let control = random.random_range(0..CONTROLS);
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -16,6 +16,12 @@
 /// fault affects.
 const PROPAGATION_MAX: Duration = Duration::from_secs(3);
 
+/// Crashes under a request after which it must be refused, the time until it is, and
+/// the number of later crashes that are tolerated.
+const CRASHES_MIN: usize = 3;
+const QUARANTINE_MAX: Duration = Duration::from_secs(3);
+const LATER_CRASHES_MAX: usize = 3;
+
 /// Time within which an accepted evacuation must be in force.
 const EVACUATION_MAX: Duration = Duration::from_secs(5);
 
@@ -54,6 +60,7 @@
     check_drains(observations, &mut violations);
     check_statements(observations, &mut violations);
     check_evacuations(observations, &mut violations);
+    check_crashes(observations, &mut violations);
     check_recovery(observations, end, &mut violations);
     violations.0
 }
@@ -215,6 +222,32 @@
     }
 }
 
+/// Checks that a request under which servers crash is refused after the third crash.
+/// Crashes beside a disrupted node do not count: it may report them late, and may not
+/// have learned what it must refuse.
+fn check_crashes(observations: &Observations, violations: &mut ViolationList) {
+    for (request, crashes) in &observations.crashes {
+        let mut reported = crashes.iter().filter(|crash| {
+            let known_at = crash.at + QUARANTINE_MAX;
+            !is_disrupted(observations, crash.server, crash.at, known_at)
+        });
+        let Some(third) = reported.nth(CRASHES_MIN - 1) else {
+            continue;
+        };
+        let due = third.at + QUARANTINE_MAX;
+        let later = crashes.iter().filter(|crash| {
+            let must_know_by = crash.at.saturating_sub(QUARANTINE_MAX);
+            crash.at > due
+                && !is_disrupted(observations, crash.server, must_know_by, crash.at)
+        });
+        let later = later.count();
+        if later > LATER_CRASHES_MAX {
+            let details = format!("request {request}: {later} more, {crashes:?}");
+            violations.push("a request that crashes servers is refused", details);
+        }
+    }
+}
+
 fn check_recovery(
     observations: &Observations,
     end: Duration,
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -83,6 +83,15 @@
     pub at: Duration,
 }
 
+/// A crash of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerCrash {
+    /// Index of the server.
+    pub server: usize,
+    /// Time of the crash.
+    pub at: Duration,
+}
+
 /// A time in which the backend servers of a failure domain were evacuated.
 #[derive(Clone, Copy, Debug)]
 pub struct EvacuationSpan {
@@ -155,6 +164,8 @@
     pub statements: Vec<StatementSpan>,
     /// Evacuations that a control instance answered as accepted.
     pub evacuations: Vec<EvacuationSpan>,
+    /// Crashes of backend servers, by the number of the request that crashed them.
+    pub crashes: BTreeMap<u64, Vec<ServerCrash>>,
     /// Times in which nodes were paused.
     pub pauses: Vec<NodePause>,
     /// Changes answered as accepted.
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_http::header::HOST;
 use log::info;
 use nix::sys::signal::Signal;
 
 use cowslip_core::change::EvacuationChange;
 use cowslip_wire::access_key::AccessKey;
 
+use crate::backend::CRASHING_PATH;
 use crate::callers;
 use crate::callers::CallerContext;
 use crate::fault_plan;
@@ -63,6 +65,13 @@
 /// Slots that calls are offered before they wait, in every other seed.
 const SLOT_PROBES: u64 = 3;
 
+/// Timeout of a request that crashes servers, and the pause before the next one.
+const CRASHING_TIMEOUT: Duration = Duration::from_millis(300);
+const CRASHING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Host of a request that crashes servers, the same at each node.
+const CRASHING_HOST: &str = "records.example";
+
 /// Interval at which processes and conditions are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -316,6 +325,10 @@
                 self.evacuate(domain, time).await;
                 return Ok(());
             }
+            Fault::CrashingRequest(time) => {
+                self.send_crashing_request(time).await;
+                return Ok(());
+            }
             Fault::KillAll(time) => self.kill_all(time).await?,
         }
         self.record_disruption(disrupted_node(fault), from);
@@ -351,6 +364,50 @@
         operator::order_evacuation(controls, end).await;
     }
 
+    /// Sends a request that crashes servers to one node after another for `time`, and
+    /// brings each crashed server back.
+    async fn send_crashing_request(&self, time: Duration) {
+        let from = self.started.elapsed();
+        let number = from.as_millis() as u64;
+        let client = awc::Client::builder().timeout(CRASHING_TIMEOUT).finish();
+        for node in self.fleet.nodes.iter().cycle() {
+            if self.started.elapsed() > from + time {
+                return;
+            }
+            let url = format!("http://{}{CRASHING_PATH}{number}", node.callers);
+            let request = client.get(url).insert_header((HOST, CRASHING_HOST));
+            let attempt = actix_rt::spawn(request.send());
+            // A crashed server is to break its connections while the caller waits.
+            while !attempt.is_finished() {
+                actix_rt::time::sleep(POLL_INTERVAL).await;
+                self.restart_crashed_servers().await;
+            }
+            actix_rt::time::sleep(CRASHING_PAUSE).await;
+        }
+    }
+
+    async fn restart_crashed_servers(&self) {
+        for at in 0..NODES {
+            if self.fleet.servers[at].has_crashed() {
+                self.restart_server(at).await;
+            }
+        }
+    }
+
+    /// Breaks the connections of a crashed backend server and begins its next run.
+    async fn restart_server(&self, at: usize) {
+        info!(
+            "event=server-crashed at={:?} server={at}",
+            self.started.elapsed()
+        );
+        let proxy = self.fleet.proxy(Link::ToServer(at));
+        proxy.set_mode(LinkMode::Reset);
+        actix_rt::time::sleep(CRASHING_PAUSE).await;
+        self.fleet.servers[at].begin_run();
+        proxy.set_mode(LinkMode::Pass);
+        self.fleet.announce(at).await;
+    }
+
     /// Kills a process, applies `damage` to its files, and restarts it after `time`.
     async fn kill(
         &self,
--- a/soak/tests/invariants.rs
+++ b/soak/tests/invariants.rs
@@ -12,6 +12,7 @@
 use cowslip_soak::observations::PlannedStop;
 use cowslip_soak::observations::SentCall;
 use cowslip_soak::observations::ServerArrival;
+use cowslip_soak::observations::ServerCrash;
 use cowslip_soak::observations::StatementKind;
 use cowslip_soak::observations::StatementSpan;
 use cowslip_soak::statement_checks;
@@ -63,6 +64,46 @@
         .collect()
 }
 
+#[test]
+fn crashes_long_after_the_third_are_found() {
+    let answered = call("a", 1, None, CallOutcome::Answered(true));
+    let crashed = |at: &[u64]| {
+        let crash = |at: &u64| ServerCrash {
+            server: 1,
+            at: secs(*at),
+        };
+        let crashes: Vec<ServerCrash> = at.iter().map(crash).collect();
+        move |observations: &mut Observations| {
+            observations.crashes.insert(7, crashes);
+        }
+    };
+    let soon = crashed(&[1, 2, 3, 4, 5, 6, 6, 6, 8, 9, 10]);
+    assert!(violations(vec![answered.clone()], soon).is_empty());
+    let late = crashed(&[1, 2, 3, 8, 9, 10, 11]);
+    assert_eq!(
+        violations(vec![answered.clone()], late),
+        ["a request that crashes servers is refused"]
+    );
+    let disrupted = |at: &[u64]| {
+        let crashes = crashed(at);
+        move |observations: &mut Observations| {
+            crashes(observations);
+            observations.disruptions.push(Disruption {
+                node: None,
+                from: secs(7),
+                until: secs(8),
+            });
+        }
+    };
+    let excused = disrupted(&[1, 2, 3, 8, 9, 10, 11]);
+    assert!(violations(vec![answered.clone()], excused).is_empty());
+    let long_after = disrupted(&[1, 2, 3, 12, 13, 14, 15]);
+    assert_eq!(
+        violations(vec![answered], long_after),
+        ["a request that crashes servers is refused"]
+    );
+}
+
 #[test]
 fn each_violation_is_found() {
     let unchanged = |_: &mut Observations| {};
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -36,6 +36,13 @@
     run_seed(5299, 20);
 }
 
+// Guards against a request that crashes servers and is passed on while nodes are killed
+// and their links cut.
+#[test]
+fn a_run_with_a_request_that_crashes_servers_violates_no_invariant() {
+    run_seed(7113, 20);
+}
+
 // A seed must always give the same faults, or a failed run could not be repeated.
 // Only one control instance may be down at a time, or acknowledged changes could
 // be lost.
