Logs tell which source a follower uses and which version decided

The record could not tell which control instance a node followed and why it turned to it, which version an instance held, by which version a call was refused, and what a retry left in the budget.

- node: source-changed with the control instance before and after, the reason and the version held; call-refused has version; call-retried has saved and saved_max of the retry budget

No decision is changed.

--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -199,7 +199,11 @@
         // A reply whose receiver is gone is dropped: its caller has given up
         // and will ask again.
         match message {
-            FanoutMessage::Publish(snapshot) => self.source.publish(now, snapshot),
+            FanoutMessage::Publish(snapshot) => {
+                let previous = self.source.current().version;
+                self.source.publish(now, snapshot);
+                self.log_version(previous, "agreement");
+            }
             FanoutMessage::Snapshot(reply) => {
                 let _ = reply.send(self.source.current().clone());
             }
@@ -255,7 +259,21 @@
             endpoints: update.endpoints,
             run: update.run,
         };
+        let previous = self.source.current().version;
         self.source.install(now, update);
+        self.log_version(previous, "leader");
+    }
+
+    /// Logs the version that followers are sent if it is another than `previous`.
+    fn log_version(&self, previous: ConfigVersion, from: &str) {
+        let version = self.source.current().version;
+        if version == previous {
+            return;
+        }
+        info!(
+            "event=version-published process=control instance={} version={version} from={from}",
+            self.instance
+        );
     }
 
     fn moves(&self, changes: Vec<AcceptedChange>) -> Vec<MoveLine> {
--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -91,7 +91,7 @@
             Ok(true) => continue,
             Ok(false) => return,
             Err(error) => warn!(
-                "event=follow-failed process=control error={}",
+                "event=follow-failed process=control leader={address} error={}",
                 LogValue(error)
             ),
         }
@@ -147,6 +147,10 @@
             FollowReply::Update(answer) => *answer,
             FollowReply::RetryAfter(after_ms) => {
                 self.waited = true;
+                info!(
+                    "event=follow-later process=control leader={address} held={} after_ms={after_ms}",
+                    self.versions.held()
+                );
                 actix_rt::time::sleep(Duration::from_millis(after_ms)).await;
                 return Ok(true);
             }
@@ -251,7 +255,7 @@
             continue;
         };
         warn!(
-            "event=report-failed process=control error={}",
+            "event=report-failed process=control leader={address} error={}",
             LogValue(error)
         );
         // Fails only at shutdown, when both tasks end.
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -29,6 +29,7 @@
 use crate::load::fleet_servers::FleetServers;
 use crate::load::repeat_probability::RepeatProbability;
 use crate::load::retry_budget::BudgetConfig;
+use crate::load::retry_budget::RetryCredit;
 use crate::load::server_load::ReportedLoad;
 use crate::load::server_pool::SearchCosts;
 use crate::load::server_pool::ServerCriteria;
@@ -302,6 +303,7 @@
             idempotent,
             origin: head.origin,
             repeats: RepeatProbability::FIRST,
+            retry_credit: RetryCredit::default(),
             first_sent_at: now.saturating_sub(age),
             caller_deadline_at: head.deadline.map(|deadline| now + deadline),
             target_at: target.map(|target| now + target.saturating_sub(age)),
@@ -531,6 +533,7 @@
                 _ => failure.reason,
             });
         }
+        plan.retry_credit = service_load.budget.credit();
         NextStep::Retry(reason)
     }
 
--- a/crates/core/src/entry_router/call_plan.rs
+++ b/crates/core/src/entry_router/call_plan.rs
@@ -8,6 +8,7 @@
 use crate::document::RouteSpec;
 use crate::entry_router::CallOrigin;
 use crate::load::repeat_probability::RepeatProbability;
+use crate::load::retry_budget::RetryCredit;
 use crate::refusal::RefusalReason;
 use crate::verdict::CallVerdict;
 
@@ -32,6 +33,8 @@
     pub origin: CallOrigin,
     /// Probability that the next try repeats work at a backend server.
     pub repeats: RepeatProbability,
+    /// What was left of the retry budget after the last failed try.
+    pub retry_credit: RetryCredit,
     pub(super) idempotent: bool,
     /// Estimated time at which the caller first sent the call, before any
     /// resend.
--- a/crates/core/src/load/retry_budget.rs
+++ b/crates/core/src/load/retry_budget.rs
@@ -64,12 +64,22 @@
     }
 }
 
+/// What is left of a node's retry budget for one service, for log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryCredit {
+    /// Retries saved; below zero after charges for incoming repeats.
+    pub saved: f64,
+    /// Maximum number of retries saved.
+    pub saved_max: f64,
+}
+
 /// Retries left for one service.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     saved: Option<f64>,
     /// Whether this node can never save up a whole retry.
     fractional: bool,
+    saved_max: f64,
     at: Duration,
 }
 
@@ -79,6 +89,7 @@
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.fractional = config.saved_max < 1.0;
+        self.saved_max = config.saved_max;
         let saved = self.saved.unwrap_or(config.saved_max);
         let earned = config.per_try + passed * config.per_second;
         self.saved = Some((saved + earned).min(config.saved_max));
@@ -91,6 +102,14 @@
         self.saved = Some(saved - repeats.expected());
     }
 
+    /// What is left.
+    pub fn credit(&self) -> RetryCredit {
+        RetryCredit {
+            saved: self.saved.unwrap_or(DEFAULT_SAVED_MAX),
+            saved_max: self.saved_max,
+        }
+    }
+
     /// Spends one retry; returns false if none is left.
     ///
     /// A node that can save only a fraction of a retry spends it for a whole
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -6,9 +6,11 @@
 //! Lines are therefore limited per second and reason; suppressed lines are
 //! counted and their number is logged.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::header::HeaderName;
@@ -16,7 +18,9 @@
 use log::info;
 
 use cowslip_core::call_try::TryFailure;
+use cowslip_core::load::retry_budget::RetryCredit;
 use cowslip_core::refusal::RefusalReason;
+use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::http_reply;
 use cowslip_wire::process_log::LogValue;
@@ -43,6 +47,8 @@
 #[derive(Debug)]
 pub struct CallLog {
     side: &'static str,
+    /// Version of the configuration in force at the node.
+    version: Rc<Cell<ConfigVersion>>,
     counts: RefCell<HashMap<RefusalReason, LineCount>>,
 }
 
@@ -78,10 +84,12 @@
 }
 
 impl CallLog {
-    /// Creates the log of a side: `entry` or `server`.
-    pub fn new(side: &'static str) -> Self {
+    /// Creates the log of a side: `entry` or `server`. Its lines name the version
+    /// that `version` holds when they are written.
+    pub fn new(side: &'static str, version: Rc<Cell<ConfigVersion>>) -> Self {
         Self {
             side,
+            version,
             counts: RefCell::default(),
         }
     }
@@ -91,23 +99,33 @@
         let reason = refused.refusal.reason;
         if self.admit_line(reason) {
             info!(
-                "event=call-refused process=node side={} request={id} reason={reason} verdict={} waited_ms={} route={}",
+                "event=call-refused process=node side={} request={id} reason={reason} verdict={} version={} waited_ms={} route={}",
                 self.side,
                 refused.refusal.verdict.as_str(),
+                self.version.get(),
                 refused.waited.as_millis(),
                 LogValue(refused.route)
             );
         }
     }
 
-    /// Logs a failed attempt of a call that is retried.
-    pub fn retried(&self, id: &LoggedId, server: &str, failure: TryFailure) {
+    /// Logs a failed attempt of a call that is retried, with what is left of the
+    /// retry budget.
+    pub fn retried(
+        &self,
+        id: &LoggedId,
+        server: &str,
+        failure: TryFailure,
+        credit: RetryCredit,
+    ) {
         if self.admit_line(failure.reason) {
             info!(
-                "event=call-retried process=node side={} request={id} server={server} reason={} verdict={}",
+                "event=call-retried process=node side={} request={id} server={server} reason={} verdict={} saved={:.2} saved_max={:.2}",
                 self.side,
                 failure.reason,
-                failure.verdict.as_str()
+                failure.verdict.as_str(),
+                credit.saved,
+                credit.saved_max
             );
         }
     }
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -374,7 +374,8 @@
                 (Err(refusal), None) => return Err(refusal),
             };
             if failure.reason != RefusalReason::NoFreeSlot {
-                self.log.retried(id, &server, failure);
+                let credit = planned.plan.retry_credit;
+                self.log.retried(id, &server, failure, credit);
             }
             if let Some(reason) = planned.retry {
                 self.metrics.retried(reason);
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -435,7 +435,8 @@
                     self.instance, self.failure_domain
                 );
                 let evacuated = self.router.is_evacuated();
-                self.hooks.installed(self.router.document(), evacuated);
+                self.hooks
+                    .installed(version, self.router.document(), evacuated);
                 self.configure_gate();
             }
             Ok(false) => {}
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -183,10 +183,10 @@
                     );
                     self.backoff.retry_after(after)
                 }
-                Ok(PollOutcome::Switch) => self.switch_source(),
+                Ok(PollOutcome::Switch) => self.switch_source("no-usable-version"),
                 Ok(PollOutcome::Unconfirmed) => {
                     self.options.metrics.count_later();
-                    self.switch_source();
+                    self.switch_source("unconfirmed");
                     self.backoff.reset();
                     self.timing.wait / 2
                 }
@@ -197,7 +197,7 @@
                         self.ring.current(),
                         LogValue(error)
                     );
-                    self.switch_source()
+                    self.switch_source("failed")
                 }
             };
             actix_rt::time::sleep(wait).await;
@@ -215,13 +215,27 @@
         }
         let controls = self.options.controls.borrow_and_update().clone();
         self.ring.replace(self.started.elapsed(), &controls);
-        self.current.send_replace(self.ring.current());
+        self.publish_source("settings");
     }
 
-    fn switch_source(&mut self) -> Duration {
+    /// Publishes the address of the control instance in use, and logs it with the
+    /// reason if it has changed.
+    fn publish_source(&self, reason: &str) {
+        let address = self.ring.current();
+        let previous = self.current.send_replace(address);
+        if previous == address {
+            return;
+        }
+        info!(
+            "event=source-changed process=node control={address} previous={previous} reason={reason} held={}",
+            self.versions.held()
+        );
+    }
+
+    fn switch_source(&mut self, reason: &str) -> Duration {
         self.waited = false;
         self.ring.failed(self.started.elapsed());
-        self.current.send_replace(self.ring.current());
+        self.publish_source(reason);
         if self.versions.held() == ConfigVersion::ZERO {
             self.backoff
                 .next_starting_wait(self.timing.startup_backoff_max)
@@ -272,7 +286,7 @@
         // The entry task ends only with the node.
         let _ = self.options.entry.send(EntryMessage::SourceConfirmed).await;
         if self.ring.answered(self.started.elapsed(), &domain) {
-            self.current.send_replace(self.ring.current());
+            self.publish_source("nearer");
         }
         // Guards against staying with a control instance that is cut off from
         // the leader: it answers, but never has updates.
--- a/crates/node/src/install_hooks.rs
+++ b/crates/node/src/install_hooks.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use cowslip_core::document::FleetDocument;
+use cowslip_core::version::ConfigVersion;
 use cowslip_wire::http_listener::ListenerTimeouts;
 
 use crate::quarantine_list::QuarantineList;
@@ -16,6 +17,8 @@
 pub struct InstallHooks {
     /// Set once the first configuration is in force.
     pub configured: Rc<Cell<bool>>,
+    /// Version of the configuration in force, for log lines.
+    pub version: Rc<Cell<ConfigVersion>>,
     /// Requests that are not sent to backend servers.
     pub quarantines: QuarantineList,
     /// The backend server that the settings name.
@@ -25,10 +28,16 @@
 }
 
 impl InstallHooks {
-    /// Applies a configuration that has come into force; `evacuated` if it
-    /// evacuates the node's failure domain. The backend server is then not
-    /// checked, since it gets no requests.
-    pub(crate) fn installed(&self, document: &FleetDocument, evacuated: bool) {
+    /// Applies the configuration of `version`, which has come into force;
+    /// `evacuated` if it evacuates the node's failure domain. The backend server is
+    /// then not checked, since it gets no requests.
+    pub(crate) fn installed(
+        &self,
+        version: ConfigVersion,
+        document: &FleetDocument,
+        evacuated: bool,
+    ) {
+        self.version.set(version);
         if !self.configured.replace(true) && !evacuated {
             self.server.request_check(document);
         }
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use cowslip_core::entry_router::CallOrigin;
+use cowslip_core::version::ConfigVersion;
 use cowslip_wire::admin_handler::AdminHandler;
 use cowslip_wire::admin_handler::ADMIN_CONNECTIONS_MAX;
 use cowslip_wire::boot_instant::BootInstant;
@@ -223,6 +224,7 @@
             stage: Rc::new(Cell::new(NodeStage::Serving)),
         };
         let quarantines = QuarantineList::default();
+        let version = Rc::new(Cell::new(ConfigVersion::ZERO));
         let (listener_timeouts, timeouts_watch) =
             watch::channel(ListenerTimeouts::default());
         let entry = entry_task::spawn(
@@ -231,6 +233,7 @@
             gate.clone(),
             InstallHooks {
                 configured: Rc::clone(&status.configured),
+                version: Rc::clone(&version),
                 quarantines: quarantines.clone(),
                 server,
                 listener_timeouts,
@@ -284,7 +287,7 @@
             claims,
             quarantines: quarantines.clone(),
             metrics: entry_metrics,
-            log: CallLog::new("entry"),
+            log: CallLog::new("entry", Rc::clone(&version)),
         });
         let peer_proxy = PeerProxy {
             pools,
@@ -296,7 +299,7 @@
             quarantines,
             next_ticket: Cell::new(0),
             metrics: server_metrics,
-            log: CallLog::new("server"),
+            log: CallLog::new("server", version),
         };
         let stage = Rc::clone(&status.stage);
         let callers = EntryHandler::new(
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -15,6 +15,7 @@
 
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::QueueBounds;
+use cowslip_core::version::ConfigVersion;
 use cowslip_node::call_headers;
 use cowslip_node::call_log::CallLog;
 use cowslip_node::call_metrics::CallMetrics;
@@ -108,7 +109,7 @@
         quarantines: QuarantineList::default(),
         holder: holder_task::spawn(),
         next_ticket: Cell::new(0),
-        log: CallLog::new("server"),
+        log: CallLog::new("server", Rc::new(Cell::new(ConfigVersion::ZERO))),
         metrics: CallMetrics::new(&mut Registry::default(), "server"),
     };
     HttpListener::bind(loopback(), 100, Rc::new(PeerHandler::new(proxy))).unwrap()
--- a/crates/node/tests/start_calls.rs
+++ b/crates/node/tests/start_calls.rs
@@ -41,6 +41,7 @@
     let (checks, _) = mpsc::unbounded_channel();
     let hooks = InstallHooks {
         configured: Rc::new(Cell::new(false)),
+        version: Rc::new(Cell::new(ConfigVersion::ZERO)),
         quarantines: QuarantineList::default(),
         server: ConfiguredServer {
             service: None,
