The soak cuts links between processes and counts repeats of a service

A leader that is cut off and lives could not happen in the soak: links between control instances and between nodes had no proxy. No invariant counted repeats, and a change had 3 s where the users ask for 2 s.

- Every connection between processes leads through a proxy, which finds the process that opened it in the kernel's list of sockets.
A cut holds what is sent into it until the time at which the kernel would send it again.
The last twelve routes are probed; of the last three none was ever due.
- Nodes: peer_address, where other nodes reach the peer listener.

Tests changed: the check of changes uses the new times (2 s after acceptance, disturbances in place of disruptions); it is stricter in both. Each new check has a test that breaks it.

--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -201,7 +201,10 @@
         let endpoint = GateEndpoint {
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
-            address: sockets.peer.local_addr()?,
+            address: match settings.peer_address {
+                Some(address) => address,
+                None => sockets.peer.local_addr()?,
+            },
             server: settings.server,
         };
         let pools = CallPools::new();
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -37,6 +37,9 @@
     pub local_listen: SocketAddr,
     /// Listen address for other nodes.
     pub peer_listen: SocketAddr,
+    /// Address at which other nodes reach the peer listener, if it is not its listen
+    /// address, as behind a port mapping.
+    pub peer_address: Option<SocketAddr>,
     /// Listen address of the metrics and health pages.
     pub admin_listen: SocketAddr,
     /// Addresses of the control instances to follow.
@@ -75,6 +78,7 @@
             callers_listen: free,
             local_listen: free,
             peer_listen: free,
+            peer_address: None,
             admin_listen: free,
             controls,
             system_key,
@@ -97,6 +101,7 @@
         let callers_listen = reader.required("callers_listen", ADDRESS);
         let local_listen = reader.required("local_listen", ADDRESS);
         let peer_listen = reader.required("peer_listen", ADDRESS);
+        let peer_address = reader.optional("peer_address", ADDRESS);
         let admin_listen = reader.required("admin_listen", ADDRESS);
         let controls = reader.scalars("controls", ADDRESS);
         let system_key =
@@ -117,6 +122,7 @@
             callers_listen: callers_listen?,
             local_listen: local_listen?,
             peer_listen: peer_listen?,
+            peer_address,
             admin_listen: admin_listen?,
             controls,
             system_key: system_key?,
--- a/soak/src/bin/cowslip-soak.rs
+++ b/soak/src/bin/cowslip-soak.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
+use cowslip_soak::fault_plan;
 use cowslip_soak::soak_error::SoakError;
 use cowslip_soak::soak_run;
 use cowslip_soak::soak_run::SoakReport;
@@ -34,6 +35,8 @@
     /// Time in which each seed injects faults, in seconds
     #[bpaf(argument("SECONDS"), fallback(20))]
     seconds: u64,
+    /// Inject only cuts between processes, one after the other
+    cuts: bool,
     /// Folder for the files of the runs, which is kept; a new one if absent
     #[bpaf(argument("FOLDER"))]
     folder: Option<PathBuf>,
@@ -67,9 +70,14 @@
         let seed = first.wrapping_add(number);
         let files = folder.join(format!("seed-{seed}"));
         std::fs::create_dir_all(&files)?;
-        let seed_run = soak_run::run_seed(seed, time, programs, &files);
+        let faults = if args.cuts {
+            fault_plan::cuts(seed, time)
+        } else {
+            fault_plan::faults(seed, time)
+        };
+        let seed_run = soak_run::run_faults(seed, &faults, programs, &files);
         let report = actix_rt::System::new().block_on(run_until_signal(seed_run))?;
-        print(seed, args.seconds, &report);
+        print(seed, args, &report);
         if report.violations.is_empty() {
             std::fs::remove_dir_all(&files)?;
         } else {
@@ -97,19 +105,31 @@
     }
 }
 
-fn print(seed: u64, seconds: u64, report: &SoakReport) {
+fn print(seed: u64, args: &SoakArgs, report: &SoakReport) {
     println!(
-        "seed {seed}: {} faults, {} calls, {} answered, {} changes, {} broken",
+        "seed {seed}: {} faults, {} calls, {} answered, {} changes, {} broken, \
+         {} of {} probes judged, changes in force after {:?} at most",
         report.faults,
         report.calls,
         report.answered,
         report.accepted,
-        report.violations.len()
+        report.violations.len(),
+        report.judged.judged,
+        report.judged.sent,
+        report.longest_delay
     );
+    if let Some(peak) = &report.repeats {
+        println!(
+            "  at most {} repeats in 10 s, {:.0} allowed",
+            peak.repeats, peak.allowed
+        );
+    }
     for violation in report.violations.iter().take(VIOLATIONS_PRINTED_MAX) {
         println!("  {violation}");
     }
     if !report.violations.is_empty() {
-        println!("  again: cowslip-soak --seed {seed} --seconds {seconds}");
+        let cuts = if args.cuts { " --cuts" } else { "" };
+        let seconds = args.seconds;
+        println!("  again: cowslip-soak --seed {seed} --seconds {seconds}{cuts}");
     }
 }
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -34,6 +34,10 @@
 /// Maximum pause between two requests of a caller, in milliseconds.
 const PAUSE_MS_MAX: u64 = 120;
 
+/// Number of the newest routes that are probed. The operator adds them within
+/// several times the time in which a change must be in force.
+const PROBED_ROUTES: u64 = 12;
+
 /// Average number of requests per probe of one of the operator's routes.
 const PROBE_EVERY: u32 = 3;
 
@@ -87,8 +91,7 @@
     let id: u64 = random.random();
     let routes = context.routes.get();
     let is_probe = routes > 0 && random.random_ratio(1, PROBE_EVERY);
-    // Probes the three newest routes, as a node may not know these yet.
-    let age = random.random_range(0..3.min(routes.max(1)));
+    let age = random.random_range(0..PROBED_ROUTES.min(routes.max(1)));
     DrawnCall {
         id: format!("{id:016x}").into(),
         node: random.random_range(0..context.nodes.len()),
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -26,6 +26,21 @@
     Node(usize),
 }
 
+impl ProcessId {
+    /// Returns true for a control instance.
+    pub fn is_control(self) -> bool {
+        matches!(self, Self::Control(_))
+    }
+
+    /// Returns the number of the process's failure domain.
+    pub fn domain(self) -> usize {
+        match self {
+            Self::Control(at) => at,
+            Self::Node(at) => at % CONTROLS,
+        }
+    }
+}
+
 /// Behaviour of a link through a proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkMode {
@@ -50,6 +65,34 @@
     ToServer(usize),
 }
 
+/// Processes that a cut separates from others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutScope {
+    /// The leader from the other control instances.
+    Leader,
+    /// The leader from all other processes.
+    LeaderFromAll,
+    /// A control instance from the other control instances.
+    Control(usize),
+    /// All processes of a failure domain from all others.
+    Domain(usize),
+    /// A node from all other processes.
+    Node(usize),
+    /// A node from another one.
+    Nodes(usize, usize),
+}
+
+/// Packets that a cut loses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutDirection {
+    /// All packets.
+    Both,
+    /// Those that the separated processes send.
+    Outbound,
+    /// Those that are sent to the separated processes.
+    Inbound,
+}
+
 /// A fault to inject. The duration is the time until it is undone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -74,6 +117,8 @@
     Reload(ProcessId),
     /// Changes the behaviour of a link.
     Link(Link, LinkMode, Duration),
+    /// Cuts links between processes silently.
+    Cut(CutScope, CutDirection, Duration),
     /// Drains a backend server and announces it again.
     Drain(usize, Duration),
     /// Makes a backend server state how many calls it takes in ten seconds.
@@ -108,6 +153,7 @@
             | Self::Kill(_, time)
             | Self::TornWrite(_, time)
             | Self::Link(_, _, time)
+            | Self::Cut(_, _, time)
             | Self::Drain(_, time)
             | Self::Limit(_, _, time)
             | Self::Leave(_, time)
@@ -152,6 +198,32 @@
 /// the effects of most other faults last.
 const CRASHING_REQUEST_SHARE: f64 = 0.4;
 
+/// Share of the seeds with cuts, and the largest number of cuts in a run.
+const CUTS_SHARE: f64 = 0.6;
+const CUTS_MAX: usize = 4;
+
+/// Longest cut in a run with other faults.
+const OVERLAPPING_CUT_MAX: Duration = Duration::from_secs(4);
+
+/// Longest cut, and the calm time after a cut, in a run that has only cuts.
+const CUT_TIME_MAX: Duration = Duration::from_secs(6);
+const CALM_AFTER_CUT: Duration = Duration::from_secs(6);
+
+/// Returns a schedule of cuts alone, one after the other, ordered by time. Changes
+/// between them must come into force.
+pub fn cuts(seed: u64, time: Duration) -> Vec<TimedFault> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut cuts = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(500..3_000));
+    while at < time {
+        let fault = draw_cut(&mut random, CUT_TIME_MAX);
+        cuts.push(TimedFault { at, fault });
+        let pause = CALM_AFTER_CUT.mul_f64(random.random_range(0.7..1.4));
+        at += fault.duration() + pause;
+    }
+    cuts
+}
+
 /// Returns the faults of a run of length `time`, ordered by time.
 pub fn faults(seed: u64, time: Duration) -> Vec<TimedFault> {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -175,6 +247,7 @@
         faults.push(TimedFault { at, fault });
     }
     faults.extend(draw_crashing_request(seed, time));
+    faults.extend(draw_cuts(seed, time));
     faults.sort_by_key(|timed| timed.at);
     faults
 }
@@ -191,6 +264,46 @@
     Some(TimedFault { at, fault })
 }
 
+/// Draws cuts from a generator of their own, so that the other faults of a seed stay
+/// the same. They may overlap any other fault.
+fn draw_cuts(seed: u64, time: Duration) -> Vec<TimedFault> {
+    let mut random = SmallRng::seed_from_u64(seed.reverse_bits());
+    if !random.random_bool(CUTS_SHARE) {
+        return Vec::new();
+    }
+    let mut cuts = Vec::new();
+    for _ in 0..random.random_range(1..=CUTS_MAX) {
+        let at = time.mul_f64(random.random_range(0.0..0.85));
+        let fault = draw_cut(&mut random, OVERLAPPING_CUT_MAX);
+        cuts.push(TimedFault { at, fault });
+    }
+    cuts
+}
+
+fn draw_cut(random: &mut SmallRng, longest: Duration) -> Fault {
+    let scope = draw_scope(random);
+    let direction = match random.random_range(0..5) {
+        0 => CutDirection::Outbound,
+        1 => CutDirection::Inbound,
+        _ => CutDirection::Both,
+    };
+    let longest = longest.as_millis() as u64;
+    let duration = Duration::from_millis(random.random_range(200..longest));
+    Fault::Cut(scope, direction, duration)
+}
+
+fn draw_scope(random: &mut SmallRng) -> CutScope {
+    let node = random.random_range(0..NODES);
+    match random.random_range(0..10) {
+        0..=2 => CutScope::Leader,
+        3..=4 => CutScope::LeaderFromAll,
+        5 => CutScope::Control(random.random_range(0..CONTROLS)),
+        6..=7 => CutScope::Domain(random.random_range(0..CONTROLS)),
+        8 => CutScope::Node(node),
+        _ => CutScope::Nodes(node, (node + random.random_range(1..NODES)) % NODES),
+    }
+}
+
 fn draw_fault(random: &mut SmallRng) -> Fault {
     let duration = Duration::from_millis(random.random_range(200..2_500));
     let control = random.random_range(0..CONTROLS);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -15,16 +15,22 @@
 use std::time::Instant;
 
 use crate::backend::RecordingServer;
+use crate::fault_plan::CutDirection;
+use crate::fault_plan::CutScope;
 use crate::fault_plan::Link;
 use crate::fault_plan::ProcessId;
 use crate::fault_plan::CONTROLS;
 use crate::fault_plan::NODES;
+use crate::link_cuts::DirectedLink;
+use crate::link_cuts::LinkCuts;
 use crate::observations::Observations;
 use crate::process::program_path;
 use crate::process::FleetProcess;
 use crate::process::LaunchConfig;
 use crate::proxy::LinkProxy;
+use crate::proxy::ProcessLinks;
 use crate::soak_error::SoakError;
+use crate::socket_owner::ProcessTable;
 
 /// Access key of the operator.
 pub const OPERATOR_KEY: &str = "soak-operator";
@@ -54,6 +60,14 @@
 pub struct SoakFleet {
     /// Listen addresses of the current control instances.
     pub controls: Rc<RefCell<Vec<SocketAddr>>>,
+    /// Links between processes that are cut now.
+    pub cuts: Rc<LinkCuts>,
+    processes: Rc<ProcessTable>,
+    /// Addresses under which control instances know each other, which lead through
+    /// proxies.
+    members: RefCell<Vec<SocketAddr>>,
+    member_proxies: RefCell<Vec<LinkProxy>>,
+    peer_proxies: Vec<LinkProxy>,
     /// Listen addresses of the nodes.
     pub nodes: Vec<NodeAddresses>,
     /// Backend servers, by index of their node.
@@ -94,16 +108,43 @@
         observations: &Rc<RefCell<Observations>>,
     ) -> Result<Self, SoakError> {
         let controls = unused_addresses(1, CONTROLS)?;
+        let cuts = Rc::new(LinkCuts::default());
+        let processes = Rc::new(ProcessTable::default());
+        let links = |target| {
+            Some(ProcessLinks {
+                target,
+                cuts: Rc::clone(&cuts),
+                processes: Rc::clone(&processes),
+            })
+        };
         let mut control_proxies = Vec::new();
         let mut control_targets = Vec::new();
+        let mut member_proxies = Vec::new();
         for (at, address) in controls.iter().enumerate() {
-            let listen = unused_address(10 + at)?;
             let target = Rc::new(Cell::new(*address));
-            control_proxies.push(LinkProxy::bind(listen, Rc::clone(&target))?);
+            let id = ProcessId::Control(at);
+            let from_nodes = unused_address(10 + at)?;
+            control_proxies.push(LinkProxy::bind(
+                from_nodes,
+                Rc::clone(&target),
+                links(id),
+            )?);
             control_targets.push(target);
+            let target = Rc::new(Cell::new(*address));
+            member_proxies.push(LinkProxy::bind(
+                unused_address(4 + at)?,
+                target,
+                links(id),
+            )?);
         }
+        let members = member_proxies.iter().map(LinkProxy::address).collect();
         let mut fleet = Self {
             controls: Rc::new(RefCell::new(controls)),
+            cuts,
+            processes,
+            members: RefCell::new(members),
+            member_proxies: RefCell::new(member_proxies),
+            peer_proxies: Vec::new(),
             nodes: Vec::new(),
             servers: Vec::new(),
             control_processes: Vec::new(),
@@ -144,8 +185,11 @@
         let listen = unused_address(100 + at)?;
         let server = RecordingServer::bind(at, listen, started, Rc::clone(observations))?;
         let target = Rc::new(Cell::new(server.address()));
-        self.server_proxies
-            .push(LinkProxy::bind(unused_address(120 + at)?, target)?);
+        self.server_proxies.push(LinkProxy::bind(
+            unused_address(120 + at)?,
+            target,
+            None,
+        )?);
         self.servers.push(Rc::new(server));
         Ok(())
     }
@@ -155,12 +199,13 @@
         at: usize,
         first_start: bool,
     ) -> Result<String, SoakError> {
-        let controls = self.controls.borrow();
+        let members = self.members.borrow();
         let seeds: Vec<String> =
-            controls.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let listen = controls[at];
+            members.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let instance = members[at];
+        let listen = self.controls.borrow()[at];
         Ok(format!(
-            "instance: \"{listen}\"\nfailure_domain: {}\nlisten: {listen}\n\
+            "instance: \"{instance}\"\nfailure_domain: {}\nlisten: {listen}\n\
              admin_listen: {}\ndata_folder: {}\nseeds: [{}]\nfirst_start: {first_start}\n\
              losses: 1\noperator_key: {OPERATOR_KEY}\nsystem_key: {SYSTEM_KEY}\n",
             failure_domain(at),
@@ -194,26 +239,93 @@
         let listen = unused_address(FIRST_SUCCESSOR + number % SUCCESSORS_MAX)?;
         self.controls.borrow_mut()[at] = listen;
         self.control_targets[at].set(listen);
+        let address = unused_address(FIRST_SUCCESSOR + number % SUCCESSORS_MAX)?;
+        let links = self.links(ProcessId::Control(at));
+        let proxy = LinkProxy::bind(address, Rc::new(Cell::new(listen)), Some(links))?;
+        self.members.borrow_mut()[at] = proxy.address();
+        self.member_proxies.borrow_mut().push(proxy);
         self.empty_folder(at)
     }
 
+    fn links(&self, target: ProcessId) -> ProcessLinks {
+        ProcessLinks {
+            target,
+            cuts: Rc::clone(&self.cuts),
+            processes: Rc::clone(&self.processes),
+        }
+    }
+
+    /// Returns the links that a cut loses packets on. `leader` is the index of the
+    /// leading control instance.
+    pub fn cut_links(
+        &self,
+        scope: CutScope,
+        direction: CutDirection,
+        leader: usize,
+    ) -> Vec<DirectedLink> {
+        let leading = ProcessId::Control(leader);
+        let mut links = Vec::new();
+        for inner in self.process_ids() {
+            for outer in self.process_ids() {
+                let cut = match scope {
+                    CutScope::Leader => inner == leading && outer.is_control(),
+                    CutScope::LeaderFromAll => inner == leading,
+                    CutScope::Control(at) => {
+                        inner == ProcessId::Control(at) && outer.is_control()
+                    }
+                    CutScope::Domain(domain) => {
+                        inner.domain() == domain && outer.domain() != domain
+                    }
+                    CutScope::Node(at) => inner == ProcessId::Node(at),
+                    CutScope::Nodes(one, other) => {
+                        inner == ProcessId::Node(one) && outer == ProcessId::Node(other)
+                    }
+                };
+                if !cut || inner == outer {
+                    continue;
+                }
+                if direction != CutDirection::Inbound {
+                    links.push((inner, outer));
+                }
+                if direction != CutDirection::Outbound {
+                    links.push((outer, inner));
+                }
+            }
+        }
+        links
+    }
+
+    /// Returns the index of the control instance with this name.
+    pub fn control_index(&self, instance: &str) -> Option<usize> {
+        let members = self.members.borrow();
+        members
+            .iter()
+            .position(|member| member.to_string() == instance)
+    }
+
     fn node_settings(&mut self, at: usize) -> Result<String, SoakError> {
         let addresses = NodeAddresses {
             callers: unused_address(30 + at)?,
             local: unused_address(50 + at)?,
         };
         self.nodes.push(addresses);
+        let peer_listen = unused_address(70 + at)?;
+        let links = self.links(ProcessId::Node(at));
+        let target = Rc::new(Cell::new(peer_listen));
+        let peer_proxy = LinkProxy::bind(unused_address(60 + at)?, target, Some(links))?;
+        let peer_address = peer_proxy.address();
+        self.peer_proxies.push(peer_proxy);
         let proxies = self.control_proxies.iter();
         let controls: Vec<String> =
             proxies.map(|proxy| proxy.address().to_string()).collect();
         Ok(format!(
             "instance: node-{at}\nfailure_domain: {}\ncallers_listen: {}\n\
-             local_listen: {}\npeer_listen: {}\nadmin_listen: {}\ncontrols: [{}]\n\
+             local_listen: {}\npeer_listen: {peer_listen}\npeer_address: {peer_address}\n\
+             admin_listen: {}\ncontrols: [{}]\n\
              system_key: {SYSTEM_KEY}\nfollow_wait: 400ms\n",
             failure_domain(at % CONTROLS),
             addresses.callers,
             addresses.local,
-            unused_address(70 + at)?,
             unused_address(90 + at)?,
             controls.join(", ")
         ))
@@ -229,11 +341,13 @@
         let instance = instance_name(id);
         let file = self.settings_file(id);
         fs::write(&file, settings)?;
-        FleetProcess::spawn(LaunchConfig {
+        let process = FleetProcess::spawn(LaunchConfig {
             program: program_path(programs, name)?,
             settings: file,
             log: self.folder.join(format!("{instance}.log")),
-        })
+        })?;
+        self.processes.add(id, process.pid());
+        Ok(process)
     }
 
     /// Returns the process with this ID.
--- a/soak/src/invariants.rs
+++ b/soak/src/invariants.rs
@@ -10,11 +10,14 @@
 use crate::observations::CallOutcome;
 use crate::observations::Observations;
 use crate::observations::SentCall;
+use crate::propagation_checks;
+use crate::propagation_checks::is_unknown_route;
+use crate::retry_checks;
 use crate::statement_checks;
 
-/// Time within which an accepted change must be in force at every node that no
-/// fault affects.
-const PROPAGATION_MAX: Duration = Duration::from_secs(3);
+/// Minimum share of the probes of routes accepted long enough before that must be
+/// judged.
+const JUDGED_SHARE_MIN: f64 = 0.2;
 
 /// Crashes under a request after which it must be refused, the time until it is, and
 /// the number of later crashes that are tolerated.
@@ -54,6 +57,8 @@
     check_executions(observations, &mut violations);
     check_no_rollback(observations, &mut violations);
     check_propagation(observations, &mut violations);
+    check_judged_share(observations, &mut violations);
+    check_repeats(observations, &mut violations);
     check_durability(observations, &mut violations);
     check_voters(observations, &mut violations);
     check_stops(observations, &mut violations);
@@ -136,21 +141,28 @@
 }
 
 fn check_propagation(observations: &Observations, violations: &mut ViolationList) {
-    for refused in probes(observations).filter(|call| is_unknown_route(call)) {
-        for accepted in &observations.accepted {
-            let due = accepted.at + PROPAGATION_MAX;
-            if refused.probe != Some(accepted.route) || refused.sent < due {
-                continue;
-            }
-            let from = accepted
-                .at
-                .min(refused.sent.saturating_sub(PROPAGATION_MAX));
-            if !is_disrupted(observations, refused.node, from, refused.ended) {
-                let details =
-                    format!("{}, accepted at {:?}", describe(refused), accepted.at);
-                violations.push("accepted changes come into force", details);
-            }
-        }
+    for (refused, accepted) in propagation_checks::overdue(observations) {
+        let details = format!("{}, accepted at {:?}", describe(refused), accepted.at);
+        violations.push("accepted changes come into force", details);
+    }
+}
+
+/// Checks that enough of a run is judged at all: a schedule whose faults excuse
+/// everything proves nothing.
+fn check_judged_share(observations: &Observations, violations: &mut ViolationList) {
+    let judged = propagation_checks::judged_share(observations);
+    if judged.share() < JUDGED_SHARE_MIN {
+        let details = format!("{} of {} probes", judged.judged, judged.sent);
+        violations.push("enough probes are judged", details);
+    }
+}
+
+fn check_repeats(observations: &Observations, violations: &mut ViolationList) {
+    let Some(peak) = retry_checks::repeat_peak(observations) else {
+        return;
+    };
+    if peak.is_exceeded() {
+        violations.push("repeats stay within the fleet's limit", format!("{peak:?}"));
     }
 }
 
@@ -282,10 +294,6 @@
         .filter(|call| call.probe.is_some())
 }
 
-fn is_unknown_route(call: &SentCall) -> bool {
-    matches!(&call.outcome, CallOutcome::Refused { reason, .. } if reason == "no-route")
-}
-
 fn restarted(
     observations: &Observations,
     node: usize,
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -134,6 +134,18 @@
     pub until: Duration,
 }
 
+/// A time in which a fault was active that may keep changes from a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// Index of the node; `None` if the fault affects the control instances or the way
+    /// to them, and so all nodes.
+    pub node: Option<usize>,
+    /// Start of the fault.
+    pub from: Duration,
+    /// End of the fault.
+    pub until: Duration,
+}
+
 /// A planned stop of a node.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedStop {
@@ -179,6 +191,8 @@
     pub starts: Vec<(usize, Duration)>,
     /// Periods during which the checks of a node allow for a fault.
     pub disruptions: Vec<Disruption>,
+    /// Times in which faults were active that may keep changes from nodes.
+    pub disturbances: Vec<Disturbance>,
     /// Planned stops of nodes.
     pub stops: Vec<PlannedStop>,
     /// Processes that exited without being asked to, and faults that could not
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -32,6 +32,10 @@
 use crate::observations::AcceptedRoute;
 use crate::observations::Observations;
 
+/// Retries that the fleet allows for a hundred requests, and beyond that at once.
+pub const RETRY_PERCENT: u64 = 10;
+pub const RETRY_BURST: u64 = 12;
+
 /// Pause between two changes.
 const CHANGE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -117,6 +121,15 @@
     Some(members.iter().filter(votes).count())
 }
 
+/// Returns the name of the leader, or `None` if no instance answers.
+pub async fn leader(controls: &RefCell<Vec<SocketAddr>>) -> Option<Arc<str>> {
+    let addresses = controls.borrow().clone();
+    let client = ControlClient::new(addresses, AccessKey::new(OPERATOR_KEY));
+    let members = client.ask(&MembersCall {}).await.ok()?;
+    let mut leaders = members.into_iter().filter(|member| member.leads);
+    leaders.next().map(|leader| leader.instance)
+}
+
 /// Returns a document with the work path and routes 1 to `last`.
 pub fn document(last: u64, slot_probes: u64) -> FleetDocument {
     let spec = ServiceSpec {
@@ -132,7 +145,10 @@
         routes,
         ..FleetDocument::default()
     };
-    document.defaults.set(TuningKey::SlotProbes, slot_probes);
+    let defaults = &mut document.defaults;
+    defaults.set(TuningKey::SlotProbes, slot_probes);
+    defaults.set(TuningKey::RetryPercent, RETRY_PERCENT);
+    defaults.set(TuningKey::RetryBurst, RETRY_BURST);
     document
 }
 
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -1,5 +1,6 @@
 //! Starts, signals and kills a program of the fleet as a separate process.
 
+use std::cell::Cell;
 use std::fs;
 use std::fs::File;
 use std::os::unix::process::CommandExt;
@@ -8,6 +9,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
+use std::rc::Rc;
 
 use nix::sys::signal::kill;
 use nix::sys::signal::Signal;
@@ -30,6 +32,8 @@
 pub struct FleetProcess {
     config: LaunchConfig,
     child: Option<Child>,
+    /// ID of the last process started.
+    pid: Rc<Cell<u32>>,
 }
 
 impl FleetProcess {
@@ -38,6 +42,7 @@
         let mut process = Self {
             config,
             child: None,
+            pid: Rc::default(),
         };
         process.start()?;
         Ok(process)
@@ -60,10 +65,16 @@
             // a stopped member. In a shared group this would end the soak test.
             .process_group(0)
             .spawn()?;
+        self.pid.set(child.id());
         self.child = Some(child);
         Ok(())
     }
 
+    /// Returns the ID of the last process started, which later starts change.
+    pub fn pid(&self) -> Rc<Cell<u32>> {
+        Rc::clone(&self.pid)
+    }
+
     /// Returns true from the start until an exit was observed.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -14,26 +15,64 @@
 use tokio::sync::watch;
 
 use crate::fault_plan::LinkMode;
+use crate::fault_plan::ProcessId;
+use crate::link_cuts::DirectedLink;
+use crate::link_cuts::LinkCuts;
+use crate::socket_owner::ProcessTable;
 
 /// Size of the copy buffer, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Time after which a connection that is opened across a cut is reset. The kernel
+/// has accepted it, so it cannot stay unanswered as one whose first packet is lost;
+/// the programs give up on those after this time.
+const OPENING_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The links that lead through a proxy to one process of the fleet.
+#[derive(Clone)]
+pub struct ProcessLinks {
+    /// The process behind the proxy.
+    pub target: ProcessId,
+    /// Links that are cut now.
+    pub cuts: Rc<LinkCuts>,
+    /// Processes that may open connections.
+    pub processes: Rc<ProcessTable>,
+}
+
 /// A running proxy of one link.
 pub struct LinkProxy {
     address: SocketAddr,
     mode: watch::Sender<LinkMode>,
 }
 
+struct ProxyConfig {
+    address: SocketAddr,
+    target: Rc<Cell<SocketAddr>>,
+    mode: watch::Receiver<LinkMode>,
+    links: Option<ProcessLinks>,
+}
+
 impl LinkProxy {
     /// Accepts connections at `listen` and forwards each to the address that
-    /// `target` holds when the connection is accepted.
-    pub fn bind(listen: SocketAddr, target: Rc<Cell<SocketAddr>>) -> io::Result<Self> {
+    /// `target` holds when the connection is accepted. Cuts apply if `links` is
+    /// given.
+    pub fn bind(
+        listen: SocketAddr,
+        target: Rc<Cell<SocketAddr>>,
+        links: Option<ProcessLinks>,
+    ) -> io::Result<Self> {
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let listener = TcpListener::from_std(listener)?;
         let (mode, mode_receiver) = watch::channel(LinkMode::Pass);
-        actix_rt::spawn(accept_connections(listener, target, mode_receiver));
+        let config = ProxyConfig {
+            address,
+            target,
+            mode: mode_receiver,
+            links,
+        };
+        actix_rt::spawn(accept_connections(listener, config));
         Ok(Self { address, mode })
     }
 
@@ -48,68 +87,103 @@
     }
 }
 
-async fn accept_connections(
-    listener: TcpListener,
-    target: Rc<Cell<SocketAddr>>,
-    mode: watch::Receiver<LinkMode>,
-) {
+async fn accept_connections(listener: TcpListener, config: ProxyConfig) {
     loop {
         // A connection that ended before it was accepted can be ignored.
-        let Ok((client, _)) = listener.accept().await else {
+        let Ok((client, from)) = listener.accept().await else {
             continue;
         };
-        actix_rt::spawn(forward(client, target.get(), mode.clone()));
+        let route = config.links.as_ref().and_then(|links| {
+            let opener = links.processes.opener(from, config.address)?;
+            Some(CuttableRoute {
+                forth: (opener, links.target),
+                back: (links.target, opener),
+                cuts: Rc::clone(&links.cuts),
+            })
+        });
+        let connection = ProxiedConnection {
+            mode: config.mode.clone(),
+            route,
+        };
+        actix_rt::spawn(connection.forward(client, config.target.get()));
     }
 }
 
-async fn forward(
-    client: TcpStream,
-    target: SocketAddr,
-    mut mode: watch::Receiver<LinkMode>,
-) {
-    // With zero linger, closing the socket drops unsent bytes and sends a reset.
-    let _ = client.set_zero_linger();
-    if *mode.borrow() == LinkMode::Reset {
-        return;
-    }
-    let Ok(upstream) = TcpStream::connect(target).await else {
-        return;
-    };
-    let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (upstream_read, upstream_write) = upstream.into_split();
-    let outbound = copy(client_read, upstream_write, mode.clone(), true);
-    let inbound = copy(upstream_read, client_write, mode.clone(), false);
-    let reset = mode.wait_for(|mode| *mode == LinkMode::Reset);
-    tokio::select! {
-        _ = async { tokio::join!(outbound, inbound) } => {}
-        _ = reset => {}
+/// Both directions of a connection between two processes of the fleet.
+#[derive(Clone)]
+struct CuttableRoute {
+    forth: DirectedLink,
+    back: DirectedLink,
+    cuts: Rc<LinkCuts>,
+}
+
+impl CuttableRoute {
+    fn is_cut(&self) -> bool {
+        self.cuts.is_cut(self.forth) || self.cuts.is_cut(self.back)
     }
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+#[derive(Clone)]
+struct ProxiedConnection {
     mode: watch::Receiver<LinkMode>,
-    is_outbound: bool,
-) {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    loop {
-        let read = match from.read(&mut buffer).await {
-            Ok(0) | Err(_) => break,
-            Ok(read) => read,
-        };
-        let current_mode = *mode.borrow();
-        match current_mode {
-            LinkMode::Silent => continue,
-            LinkMode::OneWay if !is_outbound => continue,
-            LinkMode::Delay(time) => actix_rt::time::sleep(time).await,
-            _ => {}
+    route: Option<CuttableRoute>,
+}
+
+impl ProxiedConnection {
+    async fn forward(mut self, client: TcpStream, target: SocketAddr) {
+        // With zero linger, closing the socket drops unsent bytes and sends a reset.
+        let _ = client.set_zero_linger();
+        if *self.mode.borrow() == LinkMode::Reset {
+            return;
+        }
+        if self.route.as_ref().is_some_and(CuttableRoute::is_cut) {
+            actix_rt::time::sleep(OPENING_TIMEOUT).await;
+            return;
         }
-        if to.write_all(&buffer[..read]).await.is_err() {
+        let Ok(upstream) = TcpStream::connect(target).await else {
             return;
+        };
+        let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
+        let (client_read, client_write) = client.into_split();
+        let (upstream_read, upstream_write) = upstream.into_split();
+        let outbound = self.clone().copy(client_read, upstream_write, true);
+        let inbound = self.clone().copy(upstream_read, client_write, false);
+        let reset = self.mode.wait_for(|mode| *mode == LinkMode::Reset);
+        tokio::select! {
+            _ = async { tokio::join!(outbound, inbound) } => {}
+            _ = reset => {}
         }
     }
-    // Fails if the other side has closed the connection already.
-    let _ = to.shutdown().await;
+
+    async fn copy(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, outbound: bool) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let read = match from.read(&mut buffer).await {
+                Ok(0) | Err(_) => break,
+                Ok(read) => read,
+            };
+            let current_mode = *self.mode.borrow();
+            match current_mode {
+                LinkMode::Silent => continue,
+                LinkMode::OneWay if !outbound => continue,
+                LinkMode::Delay(time) => actix_rt::time::sleep(time).await,
+                _ => {}
+            }
+            self.transmit(outbound).await;
+            if to.write_all(&buffer[..read]).await.is_err() {
+                return;
+            }
+        }
+        self.transmit(outbound).await;
+        // Fails if the other side has closed the connection already.
+        let _ = to.shutdown().await;
+    }
+
+    async fn transmit(&self, outbound: bool) {
+        let Some(route) = &self.route else {
+            return;
+        };
+        let link = if outbound { route.forth } else { route.back };
+        route.cuts.transmit(link).await;
+    }
 }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -20,6 +20,8 @@
 use crate::callers;
 use crate::callers::CallerContext;
 use crate::fault_plan;
+use crate::fault_plan::CutDirection;
+use crate::fault_plan::CutScope;
 use crate::fault_plan::Fault;
 use crate::fault_plan::Link;
 use crate::fault_plan::LinkMode;
@@ -37,12 +39,17 @@
 use crate::invariants::RECOVERY_WINDOW;
 use crate::observations::CallOutcome;
 use crate::observations::Disruption;
+use crate::observations::Disturbance;
 use crate::observations::EvacuationSpan;
 use crate::observations::NodePause;
 use crate::observations::Observations;
 use crate::observations::PlannedStop;
 use crate::operator;
 use crate::operator::OperatorContext;
+use crate::propagation_checks;
+use crate::propagation_checks::JudgedShare;
+use crate::retry_checks;
+use crate::retry_checks::RepeatPeak;
 use crate::soak_error::SoakError;
 
 /// Number of callers; each sends about ten requests per second.
@@ -86,6 +93,13 @@
     pub answered: usize,
     /// Number of changes accepted.
     pub accepted: usize,
+    /// Probes of accepted changes that no fault excuses.
+    pub judged: JudgedShare,
+    /// Longest time that an accepted change was not in force, counted from the last
+    /// disturbance.
+    pub longest_delay: Duration,
+    /// The most repeats of requests in a window; `None` if there were none.
+    pub repeats: Option<RepeatPeak>,
     /// Invariants that were violated.
     pub violations: Vec<InvariantViolation>,
 }
@@ -107,6 +121,16 @@
     time: Duration,
     programs: &Path,
     folder: &Path,
+) -> Result<SoakReport, SoakError> {
+    run_faults(seed, &fault_plan::faults(seed, time), programs, folder).await
+}
+
+/// Runs a schedule of faults, with callers whose requests `seed` determines.
+pub async fn run_faults(
+    seed: u64,
+    faults: &[TimedFault],
+    programs: &Path,
+    folder: &Path,
 ) -> Result<SoakReport, SoakError> {
     let started = Instant::now();
     let observations = Rc::new(RefCell::new(Observations::default()));
@@ -125,8 +149,7 @@
     run.fleet.write_control_settings()?;
     let callers = run.callers(seed, &operator, &finished);
     let exit_watch = actix_rt::spawn(watch_exits(Rc::clone(&run), Rc::clone(&finished)));
-    let faults = fault_plan::faults(seed, time);
-    run.inject_faults(&faults).await?;
+    run.inject_faults(faults).await?;
     finished.set(true);
     for caller in callers {
         // A caller ends after its last request.
@@ -152,6 +175,9 @@
         calls: observations.calls.len(),
         answered: answered.count(),
         accepted: observations.accepted.len(),
+        judged: propagation_checks::judged_share(observations),
+        longest_delay: propagation_checks::longest_delay(observations),
+        repeats: retry_checks::repeat_peak(observations),
         violations: invariants::violations(observations, end),
     }
 }
@@ -271,6 +297,33 @@
 
     async fn inject_fault(&self, fault: Fault) -> Result<(), SoakError> {
         let from = self.started.elapsed();
+        let disturbance = self.begin_disturbance(fault, from);
+        let injected = self.inject_fault_at(fault, from).await;
+        if let Some(index) = disturbance {
+            let until = self.started.elapsed();
+            self.observations.borrow_mut().disturbances[index].until = until;
+        }
+        injected
+    }
+
+    /// Records a fault that may keep changes from nodes as lasting until its end is
+    /// known; returns its index.
+    fn begin_disturbance(&self, fault: Fault, from: Duration) -> Option<usize> {
+        let node = disturbed_node(fault)?;
+        let disturbances = &mut self.observations.borrow_mut().disturbances;
+        disturbances.push(Disturbance {
+            node,
+            from,
+            until: Duration::MAX / 2,
+        });
+        Some(disturbances.len() - 1)
+    }
+
+    async fn inject_fault_at(
+        &self,
+        fault: Fault,
+        from: Duration,
+    ) -> Result<(), SoakError> {
         match fault {
             Fault::Pause(id, time) => {
                 self.signal(id, Signal::SIGSTOP)?;
@@ -299,6 +352,9 @@
                 actix_rt::time::sleep(time).await;
                 self.fleet.proxy(link).set_mode(LinkMode::Pass);
             }
+            Fault::Cut(scope, direction, time) => {
+                self.cut(scope, direction, time).await;
+            }
             Fault::Drain(at, time) => {
                 let local = self.fleet.nodes[at].local;
                 if self.fleet.servers[at].drain(local).await {
@@ -335,6 +391,19 @@
         Ok(())
     }
 
+    /// Cuts links for `time`. The leader is the one that leads when the cut begins.
+    async fn cut(&self, scope: CutScope, direction: CutDirection, time: Duration) {
+        let leader = operator::leader(&self.fleet.controls).await;
+        let leader = leader.and_then(|name| self.fleet.control_index(&name));
+        let links = self
+            .fleet
+            .cut_links(scope, direction, leader.unwrap_or_default());
+        info!("event=cut scope=\"{scope:?}\" leader={leader:?}");
+        self.fleet.cuts.cut(&links);
+        actix_rt::time::sleep(time).await;
+        self.fleet.cuts.heal(&links);
+    }
+
     /// Evacuates a failure domain for `time`, unless it is evacuated already.
     async fn evacuate(&self, domain: usize, time: Duration) {
         let controls = &self.fleet.controls;
@@ -538,3 +607,29 @@
         _ => None,
     }
 }
+
+/// Returns the only node that a fault may keep changes from, `Some(None)` if these are
+/// all nodes, or `None` if the fault has nothing to do with changes.
+fn disturbed_node(fault: Fault) -> Option<Option<usize>> {
+    match fault {
+        Fault::Pause(id, _) | Fault::Kill(id, _) | Fault::Stop(id, _) => {
+            Some(node_index(id))
+        }
+        Fault::Cut(CutScope::Node(at), ..) => Some(Some(at)),
+        Fault::Cut(CutScope::Nodes(..), ..) => None,
+        Fault::Cut(..)
+        | Fault::TornWrite(..)
+        | Fault::Wipe(..)
+        | Fault::Replace(..)
+        | Fault::ReplaceAndKillAll(..)
+        | Fault::Link(Link::ToControl(_), ..)
+        | Fault::KillAll(_) => Some(None),
+        Fault::Link(Link::ToServer(_), ..)
+        | Fault::Reload(_)
+        | Fault::Drain(..)
+        | Fault::Limit(..)
+        | Fault::Leave(..)
+        | Fault::Evacuate(..)
+        | Fault::CrashingRequest(_) => None,
+    }
+}
--- a/soak/tests/invariants.rs
+++ b/soak/tests/invariants.rs
@@ -1,11 +1,13 @@
 //! Tests that the checks of a soak run find a violation of each invariant.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cowslip_soak::invariants;
 use cowslip_soak::observations::AcceptedRoute;
 use cowslip_soak::observations::CallOutcome;
 use cowslip_soak::observations::Disruption;
+use cowslip_soak::observations::Disturbance;
 use cowslip_soak::observations::EvacuationSpan;
 use cowslip_soak::observations::NodePause;
 use cowslip_soak::observations::Observations;
@@ -187,7 +189,7 @@
 }
 
 #[test]
-fn a_change_not_in_force_is_found_unless_the_node_was_disrupted() {
+fn a_change_not_in_force_is_found_unless_the_node_was_disturbed() {
     let accept = |observations: &mut Observations| {
         observations.accepted.push(AcceptedRoute {
             route: 4,
@@ -195,20 +197,80 @@
         });
         observations.final_routes.push(4);
     };
-    let early = call("a", 12, Some(4), refused("no-route"));
+    let early = call("a", 11, Some(4), refused("no-route"));
     assert!(violations(vec![early], accept).is_empty());
-    let late = call("a", 14, Some(4), refused("no-route"));
+    let late = call("a", 13, Some(4), refused("no-route"));
     let invariant = ["accepted changes come into force"];
     assert_eq!(violations(vec![late.clone()], accept), invariant);
-    let disrupt = |observations: &mut Observations| {
-        accept(observations);
-        let (from, until) = (secs(8), secs(11));
-        let node = Some(1);
-        observations
-            .disruptions
-            .push(Disruption { node, from, until });
+    let disturbed = |node: usize| {
+        move |observations: &mut Observations| {
+            accept(observations);
+            observations.disturbances.push(Disturbance {
+                node: Some(node),
+                from: secs(8),
+                until: secs(11),
+            });
+        }
     };
-    assert!(violations(vec![late], disrupt).is_empty());
+    let excused = vec![late.clone(), call("b", 20, Some(4), answered())];
+    assert!(violations(excused, disturbed(1)).is_empty());
+    assert_eq!(violations(vec![late], disturbed(2)), invariant);
+    let later = call("a", 15, Some(4), refused("no-route"));
+    assert_eq!(violations(vec![later], disturbed(1)), invariant);
+}
+
+// Guards against a schedule whose faults excuse every request, so that it proves
+// nothing about changes.
+#[test]
+fn a_run_that_judges_hardly_any_probe_is_found() {
+    let disturb = |observations: &mut Observations| {
+        observations.accepted.push(AcceptedRoute {
+            route: 4,
+            at: secs(10),
+        });
+        observations.final_routes.push(4);
+        observations.disturbances.push(Disturbance {
+            node: None,
+            from: secs(8),
+            until: secs(40),
+        });
+    };
+    let excused = |count: u64| {
+        let sent = |at| call(&format!("a{at}"), at, Some(4), answered());
+        (15..15 + count).map(sent).collect::<Vec<SentCall>>()
+    };
+    let mut calls = excused(9);
+    calls.push(call("b", 50, Some(4), answered()));
+    assert_eq!(violations(calls, disturb), ["enough probes are judged"]);
+    let mut calls = excused(3);
+    calls.push(call("b", 50, Some(4), answered()));
+    assert!(violations(calls, disturb).is_empty());
+}
+
+#[test]
+fn repeats_beyond_the_limit_of_a_window_are_found() {
+    // 100 requests in ten seconds, each of which reaches `tries` servers.
+    let arrived = |tries: usize, from: u64| {
+        move |observations: &mut Observations| {
+            for number in 0..100_u64 {
+                let at = secs(from) + Duration::from_millis(number * 100);
+                let mut sent = call(&format!("r{number}"), 0, None, answered());
+                (sent.sent, sent.ended) = (at, at);
+                for server in 0..tries {
+                    let id = Arc::clone(&sent.id);
+                    observations.arrivals.push(ServerArrival { server, id, at });
+                }
+                observations.calls.push(sent);
+            }
+        }
+    };
+    assert!(violations(vec![], arrived(1, 10)).is_empty());
+    let invariant = ["repeats stay within the fleet's limit"];
+    assert_eq!(violations(vec![], arrived(2, 10)), invariant);
+}
+
+fn answered() -> CallOutcome {
+    CallOutcome::Answered(true)
 }
 
 #[test]
