Known red: restarts add retries to what the fleet allows

Each start of a process begins with a whole share, and a share is the burst divided by the nodes that this node knows.

--- a/crates/core/tests/retry_sum.rs
+++ b/crates/core/tests/retry_sum.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 
+use cowslip_core::claim::HolderSeat;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -37,6 +38,9 @@
 const PER_SECOND: u64 = 140;
 const SECONDS: u64 = 10;
 
+/// Calls that a restarted node gets until its next start.
+const CALLS_AFTER_START: u32 = 4;
+
 const FAILED: TryFailure = TryFailure {
     verdict: CallVerdict::Ran,
     reason: RefusalReason::ServerFailed,
@@ -63,7 +67,18 @@
 
 /// An entry node of a fleet of `nodes` with two services.
 fn router(nodes: usize, seed: u64) -> EntryRouter {
+    router_knowing(nodes, nodes, seed)
+}
+
+/// An entry node whose directory lists only `known` of the fleet's `nodes`.
+fn router_knowing(nodes: usize, known: usize, seed: u64) -> EntryRouter {
     let mut document = FleetDocument::default();
+    for number in 0..nodes {
+        document.holders.seats.push(HolderSeat {
+            instance: format!("node-{number}").into(),
+            failure_domain: "voss".into(),
+        });
+    }
     document.defaults.set(TuningKey::RetryPercent, PERCENT);
     document.defaults.set(TuningKey::RetryBurst, BURST);
     for name in ["contract", "records"] {
@@ -86,9 +101,9 @@
         document: document.into(),
     });
     assert_eq!(swapped, Ok(true));
-    let outer = nodes * 2 / 3;
+    let outer = known * 2 / 3;
     let mut records = Vec::new();
-    for number in 0..nodes {
+    for number in 0..known {
         let service = if number < outer {
             "contract"
         } else {
@@ -214,6 +229,56 @@
     }
 }
 
+/// Calls and repeats of a window in which each node starts `starts` times, knows
+/// `known` of the others and gets a few calls after each start, which all fail.
+fn restarting_fleet(nodes: usize, known: usize, starts: u64) -> ServiceCounts {
+    let mut counts = ServiceCounts {
+        calls: 0,
+        repeats: 0,
+    };
+    for node in 0..nodes {
+        for start in 0..starts {
+            let mut router = router_knowing(nodes, known, node as u64 * starts + start);
+            for call in 0..CALLS_AFTER_START {
+                let now = Duration::from_secs(SECONDS) * call / CALLS_AFTER_START;
+                run_call(
+                    &mut router,
+                    now / starts as u32,
+                    &head("/contract", CallOrigin::Outside),
+                    RepeatProbability::FIRST,
+                    &mut counts,
+                    |_, _| Some(FAILED),
+                );
+            }
+        }
+    }
+    counts
+}
+
+// Guards against a burst of retries for each start of a process, and against nodes
+// that know few others and take the whole burst for themselves.
+#[test]
+fn restarts_and_unknown_nodes_add_no_retries() {
+    let fleets = [
+        (9, 9, 1),
+        (9, 9, 6),
+        (9, 3, 1),
+        (9, 3, 6),
+        (60, 60, 3),
+        (60, 6, 3),
+    ];
+    for (nodes, known, starts) in fleets {
+        let counts = restarting_fleet(nodes, known, starts);
+        let allowed = counts.calls * PERCENT / 100 + BURST;
+        assert!(
+            counts.repeats <= allowed,
+            "{nodes} nodes, {known} known, {starts} starts: {} repeats for {} calls, {allowed} allowed",
+            counts.repeats,
+            counts.calls
+        );
+    }
+}
+
 // A fleet of 300 nodes starts and a server is lost. If each node held at least
 // one whole retry, 300 would be sent where 40 are allowed; if it held none, no
 // call could be retried.
