--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -452,6 +452,13 @@
         lease_holders
     }
 
+    /// Name of the leader as an instance knows it.
+    pub fn known_leader(&self, at: usize) -> Option<Arc<str>> {
+        let member = self.instances[at].member.as_ref()?;
+        let status = member.agreement().leader_status(self.clock(at));
+        status.leader.map(|leader| leader.instance)
+    }
+
     /// Runs until an instance holds the leader lease, for at most 15 s.
     pub fn wait_for_leader(&mut self) -> usize {
         for _ in 0..1_500 {
