An instance passes on a leader's name with the time since its last message

Callers saw: nothing by itself.

Cause: an instance that hears from no leader asks others, and each answer that named one counted as fresh for 1.2 s, also where the one who answered knew the name only from such an answer. Two instances kept a name alive between them for as long as both heard from no leader, and after a cut the old name and the new one replaced each other with each answer.

Change: an answer says how long ago the message was received that shows that the leader leads; whoever is told counts from there, keeps the newest, and does not take its own name. Older builds send no age, which counts as zero, as before.

--- a/crates/core/src/agreement/bootstrap.rs
+++ b/crates/core/src/agreement/bootstrap.rs
@@ -19,6 +19,7 @@
 use crate::agreement::member_list::MemberList;
 use crate::agreement::member_list::MemberRecord;
 use crate::agreement::member_list::MemberRole;
+use crate::agreement::member_message::LeaderContact;
 use crate::agreement::member_message::MemberMessage;
 use crate::agreement::member_message::MessageBody;
 use crate::agreement::saved_state::HardState;
@@ -118,8 +119,11 @@
             let founder = Arc::clone(&message.from);
             self.answered_folders.insert(founder, message.folder);
         }
+        let heard = self.heard_leader(now).filter(|_| !self.is_leader());
+        let age = heard.map(|(_, at)| now.saturating_sub(at));
         let body = MessageBody::HelloAnswer {
             leader: self.leader_status(now).leader,
+            leader_age_ms: age.unwrap_or_default().as_millis() as u64,
             fresh,
             greeted: message.start,
             contacts: self.known_contacts(),
@@ -158,6 +162,7 @@
     pub(super) fn handle_hello_answer(&mut self, now: Duration, message: MemberMessage) {
         let MessageBody::HelloAnswer {
             leader,
+            leader_age_ms,
             fresh,
             greeted,
             contacts,
@@ -166,7 +171,8 @@
             return;
         };
         if let Some(leader) = leader {
-            self.leader_hint = Some((leader.clone(), now));
+            let age = Duration::from_millis(*leader_age_ms);
+            self.record_leader_hint(leader, now.saturating_sub(age));
         }
         self.contacts.merge(now, contacts);
         if *greeted != self.identity.start {
@@ -184,6 +190,19 @@
         self.try_bootstrap(now);
     }
 
+    /// Records a leader that another instance named. `heard_at` is when the message
+    /// was received that shows that it leads: without it instances that hear from no
+    /// leader would go on naming one to each other.
+    fn record_leader_hint(&mut self, leader: &LeaderContact, heard_at: Duration) {
+        let newer = self
+            .leader_hint
+            .as_ref()
+            .is_none_or(|(_, at)| heard_at > *at);
+        if newer && leader.instance != self.identity.instance {
+            self.leader_hint = Some((leader.clone(), heard_at));
+        }
+    }
+
     /// True if `message` comes from a folder that its sender has lost since.
     ///
     /// Guards against an instance that bootstraps the log, loses its folder
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -115,6 +115,8 @@
     /// Data folder of `leader`.
     pub(super) leader_folder: u64,
     /// Leader named in a hello answer, and the time of that answer.
+    /// Leader that another instance named, and when somebody last received a message
+    /// from it.
     pub(super) leader_hint: Option<(LeaderContact, Duration)>,
     /// When the leader's last message arrived; `None` before the first one.
     pub(super) leader_message_at: Option<Duration>,
@@ -249,21 +251,27 @@
                 lease_until,
             };
         }
-        let leader_live = self
-            .leader_message_at
-            .is_some_and(|at| now < at + STEP_DOWN_TIMEOUT);
-        let hint = self
-            .leader_hint
-            .as_ref()
-            .filter(|(_, at)| now < *at + STEP_DOWN_TIMEOUT);
-        let hinted = hint.map(|(leader, _)| leader.clone());
+        let known = self.heard_leader(now);
         LeaderStatus {
-            leader: self.leader.clone().filter(|_| leader_live).or(hinted),
+            leader: known.map(|(leader, _)| leader.clone()),
             leading: false,
             lease_until: None,
         }
     }
 
+    /// The leader of which this member, or one that told it, has received a message
+    /// within [`STEP_DOWN_TIMEOUT`], and when that was.
+    pub(super) fn heard_leader(
+        &self,
+        now: Duration,
+    ) -> Option<(&LeaderContact, Duration)> {
+        let heard = self.leader.as_ref().zip(self.leader_message_at);
+        let hinted = self.leader_hint.as_ref().map(|(leader, at)| (leader, *at));
+        let is_live = |at: Duration| now < at + STEP_DOWN_TIMEOUT;
+        let heard = heard.filter(|(_, at)| is_live(*at));
+        heard.or(hinted.filter(|(_, at)| is_live(*at)))
+    }
+
     /// Highest term that this member has seen.
     pub fn term(&self) -> u64 {
         self.hard.term
--- a/crates/core/src/agreement/member_message.rs
+++ b/crates/core/src/agreement/member_message.rs
@@ -59,6 +59,10 @@
     HelloAnswer {
         /// The leader, if known.
         leader: Option<LeaderContact>,
+        /// Milliseconds since the answering instance, or the one that it learned
+        /// this from, last received a message from the leader.
+        #[serde(default)]
+        leader_age_ms: u64,
         /// True if the answering instance has never held an entry.
         fresh: bool,
         /// Process start of the instance that sent the hello.
