A control instance turns to a new leader at once

Callers saw: changes late after a leader was cut off.

Cause: a call to the leader was given up by its timeout of 2 s alone. An instance that has no vote gets the configuration by this poll only, and nodes stay with it, since its proof lasts 2 s as well; an instance with a vote passes on no directory updates and no reports meanwhile. The same for a leader that asked to come later.

Change: polls, chunk requests, reports and such waits end when another instance is known to lead. What a poll has brought is still installed as a whole.

--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -22,12 +22,14 @@
 use cowslip_wire::follow_messages::FollowCall;
 use cowslip_wire::follow_messages::FollowReply;
 use cowslip_wire::follow_messages::ReportCall;
+use cowslip_wire::messages::WireCall;
 use cowslip_wire::peer_client::PeerClient;
 use cowslip_wire::peer_client::PeerError;
 use cowslip_wire::process_log::LogValue;
 
 use crate::fanout_task::FanoutMessage;
 use crate::fanout_task::InstalledUpdate;
+use crate::leader_view::LeaderView;
 use crate::leader_view::LeaderWatch;
 
 /// How long the leader may hold a poll while it has no updates. Each answer
@@ -60,6 +62,32 @@
     view.address
 }
 
+/// Sends a call to the leader at `address`; `None` if another instance leads before
+/// the answer arrives. A leader that is cut off answers nothing, and whoever waited
+/// for it would follow nobody until the call times out.
+async fn send_while_leading<C: WireCall>(
+    client: &PeerClient,
+    leader: &LeaderWatch,
+    address: SocketAddr,
+    call: &C,
+) -> Result<Option<C::Answer>, PeerError> {
+    tokio::select! {
+        answer = client.send(address, call, CALL_TIMEOUT) => answer.map(Some),
+        () = wait_for_other_leader(leader.clone(), address) => Ok(None),
+    }
+}
+
+/// Waits until an instance other than the one at `address` is known to lead.
+async fn wait_for_other_leader(mut leader: LeaderWatch, address: SocketAddr) {
+    let is_other = |view: &LeaderView| {
+        view.is_leading() || view.address.is_some_and(|known| known != address)
+    };
+    if leader.wait_for(is_other).await.is_err() {
+        // The sender is gone only at shutdown.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Follows the current leader and installs its updates.
 pub async fn follow(
     instance: Arc<str>,
@@ -69,6 +97,7 @@
 ) {
     let mut follower = LeaderFollower {
         instance,
+        leader: leader.clone(),
         client,
         fanout,
         versions: VersionFollower::new(Duration::ZERO),
@@ -101,6 +130,7 @@
 
 struct LeaderFollower {
     instance: Arc<str>,
+    leader: LeaderWatch,
     client: PeerClient,
     fanout: mpsc::Sender<FanoutMessage>,
     versions: VersionFollower,
@@ -142,16 +172,23 @@
             node_domain: None,
         };
         let sent_at = BootInstant::now();
-        let reply = self.client.send(address, &call, CALL_TIMEOUT).await?;
-        let answer = match reply {
-            FollowReply::Update(answer) => *answer,
-            FollowReply::RetryAfter(after_ms) => {
+        let sent = send_while_leading(&self.client, &self.leader, address, &call);
+        let answer = match sent.await? {
+            None => {
+                self.waited = false;
+                return Ok(true);
+            }
+            Some(FollowReply::Update(answer)) => *answer,
+            Some(FollowReply::RetryAfter(after_ms)) => {
                 self.waited = true;
                 info!(
                     "event=follow-later process=control leader={address} held={} after_ms={after_ms}",
                     self.versions.held()
                 );
-                actix_rt::time::sleep(Duration::from_millis(after_ms)).await;
+                let after = Duration::from_millis(after_ms);
+                let other = wait_for_other_leader(self.leader.clone(), address);
+                // Ends early if the one that asked for the wait does not lead.
+                let _ = actix_rt::time::timeout(after, other).await;
                 return Ok(true);
             }
         };
@@ -206,7 +243,10 @@
         }
         while let FollowStep::Fetch { version, at } = step {
             let call = ChunkCall { version, at };
-            let answer = self.client.send(address, &call, CALL_TIMEOUT).await?;
+            let sent = send_while_leading(&self.client, &self.leader, address, &call);
+            let Some(answer) = sent.await? else {
+                return Ok(None);
+            };
             let now = self.started.elapsed();
             step = self.versions.chunk(now, answer.chunk.as_deref());
         }
@@ -251,15 +291,18 @@
             continue;
         }
         let call = ReportCall { batch };
-        let Err(error) = client.send(address, &call, CALL_TIMEOUT).await else {
+        let sent = send_while_leading(&client, &leader, address, &call).await;
+        if let Ok(Some(())) = sent {
             continue;
-        };
-        warn!(
-            "event=report-failed process=control leader={address} error={}",
-            LogValue(error)
-        );
+        }
         // Fails only at shutdown, when both tasks end.
         let _ = fanout.send(FanoutMessage::ReturnReports(call.batch)).await;
-        actix_rt::time::sleep(RETRY_PAUSE).await;
+        if let Err(error) = sent {
+            warn!(
+                "event=report-failed process=control leader={address} error={}",
+                LogValue(error)
+            );
+            actix_rt::time::sleep(RETRY_PAUSE).await;
+        }
     }
 }
