A node's reports go to the control instance that it follows now

Callers saw: nothing yet. A drained server would get calls for two seconds more than it should, and a request that crashes servers would be recognised as late, where the control instance in use falls silent.

Cause: publish, crash reports and counts of moves read the address once and waited up to 2 s (crashes 1 s) for its answer, whatever the node did meanwhile.

Change: control_call::send_while_followed gives up when the node turns to another control instance; the record and the crashes are sent there at once.

--- a/crates/node/src/crash_task.rs
+++ b/crates/node/src/crash_task.rs
@@ -20,6 +20,8 @@
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
+use crate::control_call;
+
 /// Interval at which recent crashes are reported again, for a report that was lost and
 /// for a control instance that has just begun to lead.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(3);
@@ -65,6 +67,16 @@
     actix_rt::spawn(reporter.run(crashes));
 }
 
+/// What became of a report.
+enum ReportOutcome {
+    /// A control instance took it.
+    Taken,
+    /// The node has turned to another control instance meanwhile.
+    Left,
+    /// The control instance did not answer.
+    Failed,
+}
+
 impl CrashReporter {
     async fn run(mut self, mut crashes: mpsc::UnboundedReceiver<CutCalls>) {
         let mut pause = REPEAT_INTERVAL;
@@ -85,10 +97,10 @@
                 self.keep(calls);
             }
             self.forget_old();
-            pause = if self.report().await {
-                REPEAT_INTERVAL
-            } else {
-                RETRY_DELAY
+            pause = match self.report().await {
+                ReportOutcome::Taken => REPEAT_INTERVAL,
+                ReportOutcome::Left => Duration::ZERO,
+                ReportOutcome::Failed => RETRY_DELAY,
             };
         }
     }
@@ -115,10 +127,10 @@
         }
     }
 
-    /// Sends all recent crashes. Returns whether a control instance took them.
-    async fn report(&self) -> bool {
+    /// Sends all recent crashes.
+    async fn report(&self) -> ReportOutcome {
         if self.crashes.is_empty() {
-            return true;
+            return ReportOutcome::Taken;
         }
         let crashes = self.crashes.iter().map(|crash| CrashRecord {
             number: crash.number,
@@ -132,13 +144,24 @@
             }],
         };
         let address = *self.control.borrow();
-        let sent = self.client.send(address, &call, REPORT_TIMEOUT).await;
-        if let Err(error) = &sent {
-            warn!(
-                "event=crashes-failed process=node control={address} error={}",
-                LogValue(error)
-            );
+        let (client, control) = (&self.client, &self.control);
+        let sent = control_call::send_while_followed(
+            client,
+            control,
+            address,
+            &call,
+            REPORT_TIMEOUT,
+        );
+        match sent.await {
+            Ok(Some(())) => ReportOutcome::Taken,
+            Ok(None) => ReportOutcome::Left,
+            Err(error) => {
+                warn!(
+                    "event=crashes-failed process=node control={address} error={}",
+                    LogValue(error)
+                );
+                ReportOutcome::Failed
+            }
         }
-        sent.is_ok()
     }
 }
--- a/crates/node/src/evidence_task.rs
+++ b/crates/node/src/evidence_task.rs
@@ -15,6 +15,7 @@
 use cowslip_wire::peer_client::PeerClient;
 use cowslip_wire::process_log::LogValue;
 
+use crate::control_call;
 use crate::entry_task::EntryMessage;
 
 /// Timeout of a report. A lost report needs no retry, because the next one
@@ -77,8 +78,10 @@
         let call = EvidenceCall {
             reports: vec![report],
         };
-        let sent = client.send(address, &call, REPORT_TIMEOUT).await;
-        if let Err(error) = sent {
+        let timeout = REPORT_TIMEOUT;
+        let sent =
+            control_call::send_while_followed(&client, &control, address, &call, timeout);
+        if let Err(error) = sent.await {
             warn!(
                 "event=evidence-failed process=node control={address} error={}",
                 LogValue(error)
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -32,6 +32,7 @@
 use cowslip_wire::peer_client::PeerError;
 use cowslip_wire::process_log::LogValue;
 
+use crate::control_call;
 use crate::entry_task::EntryMessage;
 use crate::follow_metrics::FollowMetrics;
 use crate::gate_messages::GateMessage;
@@ -410,8 +411,14 @@
             };
             let address = *control.borrow();
             let call = ReportCall { batch };
-            let Err(error) = client.send(address, &call, REQUEST_TIMEOUT).await else {
-                break;
+            let timeout = REQUEST_TIMEOUT;
+            let sent = control_call::send_while_followed(
+                &client, &control, address, &call, timeout,
+            );
+            let error = match sent.await {
+                Ok(Some(())) => break,
+                Ok(None) => continue,
+                Err(error) => error,
             };
             warn!(
                 "event=report-failed process=node control={address} error={}",
