A node's report of unlisted endpoints holds back no version

Callers saw: refusals with no-route, seconds after a route was accepted, at nodes that had changed their control instance five to ten seconds before and whose reports got no answer.

Cause: a node sent the report of endpoints that its control instance does not list inside the poll, after the answer's records and before its configuration, and waited up to 2 s for it. A report that failed was sent again with the next poll, before the next version: nothing came into force while reports hung.

Change: the report is sent beside the polls; one that failed is kept for the next poll if the control instance is still in the same run.

Test: a_report_without_an_answer_holds_back_no_version, red before this commit (in force after 4.0 s), green with it.

--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -128,6 +128,7 @@
         versions: VersionFollower::new(Duration::ZERO),
         directory: DirectoryFollower::default(),
         unlisted_delay,
+        failed_reports: mpsc::unbounded_channel(),
         waited: false,
         started: Instant::now(),
     };
@@ -145,11 +146,22 @@
     /// Time for live servers to announce themselves to a control instance before
     /// this node reports those that are missing there.
     unlisted_delay: Duration,
+    failed_reports: (
+        mpsc::UnboundedSender<UnlistedReport>,
+        mpsc::UnboundedReceiver<UnlistedReport>,
+    ),
     waited: bool,
     backoff: ReconnectBackoff,
     started: Instant,
 }
 
+/// A report of endpoints that a control instance does not list.
+struct UnlistedReport {
+    /// Run of that control instance.
+    run: u64,
+    endpoints: Vec<EndpointRecord>,
+}
+
 /// Result of a poll that was answered.
 enum PollOutcome {
     /// Keep polling the same control instance.
@@ -304,7 +316,7 @@
             // The gate task ends only with the node.
             let _ = self.options.gate.send(GateMessage::Republish);
         }
-        self.report_unlisted().await;
+        self.report_unlisted();
         for record in &changed {
             if record.instance == self.options.instance {
                 let current = Box::new(record.clone());
@@ -319,8 +331,15 @@
         let _ = self.options.entry.send(update).await;
     }
 
-    /// Reports the endpoints that only this node and others like it remember.
-    async fn report_unlisted(&mut self) {
+    /// Reports the endpoints that only this node and others like it remember. Does
+    /// not wait for the answer: versions must not wait for it.
+    fn report_unlisted(&mut self) {
+        let run = self.directory.position().run;
+        while let Ok(failed) = self.failed_reports.1.try_recv() {
+            if failed.run == run {
+                self.directory.return_unlisted(&failed.endpoints);
+            }
+        }
         let now = self.started.elapsed();
         let endpoints = self.directory.take_unlisted(now, self.unlisted_delay);
         if endpoints.is_empty() {
@@ -336,18 +355,20 @@
             endpoints,
         };
         let call = ReportCall { batch };
-        let sent = self
-            .options
-            .client
-            .send(address, &call, REQUEST_TIMEOUT)
-            .await;
-        if let Err(error) = sent {
-            warn!(
-                "event=report-failed process=node control={address} error={}",
-                LogValue(error)
-            );
-            self.directory.return_unlisted(&call.batch.endpoints);
-        }
+        let client = self.options.client.clone();
+        let failed_reports = self.failed_reports.0.clone();
+        actix_rt::spawn(async move {
+            let sent = client.send(address, &call, REQUEST_TIMEOUT).await;
+            if let Err(error) = sent {
+                warn!(
+                    "event=report-failed process=node control={address} error={}",
+                    LogValue(error)
+                );
+                let endpoints = call.batch.endpoints;
+                // The follower is gone only when the node stops.
+                let _ = failed_reports.send(UnlistedReport { run, endpoints });
+            }
+        });
     }
 
     /// Fetches chunks until the follower needs no more. `first_chunk` is the one
