Restarts and unknown nodes add nothing to the fleet's retry budget

Cause: a node's credit was a whole share of the burst with each start of its process, and a share was the burst divided by the endpoints that this node lists at the moment: the whole burst for a node that knows only itself. A charge before the first call counted against ten retries whatever the burst.

Change: half of a share can be saved, half is earned over ten seconds, and a process starts with none. The number of nodes is the most that the process has known, or the seats of the agreed roster, if these are more.

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -108,6 +108,10 @@
     service_loads: HashMap<Arc<str>, ServiceLoad>,
     guard: NodeGuard,
     notices: ServerNotices,
+    /// The most nodes that this one has known, or that the configuration names as
+    /// holders of keys. They share the retry budget; nodes that cannot be seen now
+    /// still spend their shares.
+    nodes_max: usize,
     rng: SmallRng,
 }
 
@@ -124,6 +128,7 @@
             service_loads: HashMap::new(),
             guard: NodeGuard::default(),
             notices: ServerNotices::default(),
+            nodes_max: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -277,6 +282,10 @@
         let allowed = allowed.min(timeout.unwrap_or(allowed));
         let percent = document.tuning(TuningKey::RetryPercent, &context);
         let burst = document.tuning(TuningKey::RetryBurst, &context);
+        let seats = document.holders.seats.len();
+        let known = self.directory.len().max(seats);
+        self.nodes_max = self.nodes_max.max(known);
+        let config = BudgetConfig::of(percent, burst, self.nodes_max);
         let tries = document.tuning(TuningKey::TriesMax, &context);
         let probes = document.tuning(TuningKey::SlotProbes, &context);
         let idempotent = match route.repeat {
@@ -326,7 +335,6 @@
             self.record_refusal(now, &plan);
             return Err(RefusalReason::CustomerLimit);
         }
-        let config = BudgetConfig::of(percent, burst, self.directory.len());
         service_load.budget.earn(now, config);
         Ok(plan)
     }
--- a/crates/core/src/load/retry_budget.rs
+++ b/crates/core/src/load/retry_budget.rs
@@ -6,6 +6,18 @@
 //! fraction of a retry, and a retry costs one. A minimum rate lets rare calls
 //! be retried as well.
 //!
+//! A fleet that sets a burst bounds the retries of all its nodes together: in any
+//! [`BURST_TIME`] they are at most the burst, and the earned fraction of the first
+//! tries in it. A node's share of the burst is earned in that time, half of it can be
+//! saved, and a process starts with none, so that restarts add nothing:
+//!
+//! ```text
+//! saved before (burst / 2 nodes) + earned over time (burst / 2 nodes), for each node
+//! ```
+//!
+//! The bound needs each node to count at least as many nodes as there are. It counts
+//! those that the agreed configuration names and the most that it has known.
+//!
 //! Only one layer retries: a call that a backend server makes is retried only
 //! if nothing has run, and the outer call gets the backend server's own answer,
 //! which is never retried. Tries therefore do not multiply along a chain of
@@ -18,14 +30,20 @@
 
 use crate::load::repeat_probability::RepeatProbability;
 
+/// Time in which the nodes together may spend the fleet's burst.
+pub const BURST_TIME: Duration = Duration::from_secs(10);
+
+/// Part of a node's share of the burst that it can save; the rest is earned within
+/// [`BURST_TIME`].
+const SAVED_PART: f64 = 0.5;
+
 /// Maximum number of retries that one node saves, and its initial balance, if
 /// the fleet sets no burst: losing a server affects about as many calls as it
 /// has slots.
 const DEFAULT_SAVED_MAX: f64 = 10.0;
 
-/// Retries earned each second regardless of load, for rarely called services.
-/// None are earned this way if the fleet sets a burst, because the nodes
-/// together would exceed it.
+/// Retries earned each second regardless of load, for rarely called services, if the
+/// fleet sets no burst.
 const DEFAULT_PER_SECOND: f64 = 0.5;
 
 /// How much a node may earn and save.
@@ -37,12 +55,14 @@
     per_second: f64,
     /// Maximum number of retries saved.
     saved_max: f64,
+    /// Retries saved when the process starts.
+    initial: f64,
 }
 
 impl BudgetConfig {
     /// Config of one of `nodes` nodes in a fleet that allows `percent` retries
-    /// for a hundred first tries and `burst` more at once; a `burst` of 0 sets
-    /// no limit for the fleet.
+    /// for a hundred first tries and `burst` more within [`BURST_TIME`]; a `burst` of 0
+    /// sets no limit for the fleet.
     ///
     /// Guards against every node saving up the burst meant for all: after a
     /// calm minute, 70 nodes together would send ten times the burst at once.
@@ -53,13 +73,15 @@
                 per_try,
                 per_second: DEFAULT_PER_SECOND,
                 saved_max: DEFAULT_SAVED_MAX,
+                initial: DEFAULT_SAVED_MAX,
             };
         }
         let share = burst as f64 / nodes.max(1) as f64;
         Self {
             per_try,
-            per_second: 0.0,
-            saved_max: share,
+            per_second: share * (1.0 - SAVED_PART) / BURST_TIME.as_secs_f64(),
+            saved_max: share * SAVED_PART,
+            initial: 0.0,
         }
     }
 }
@@ -90,7 +112,7 @@
         self.at = self.at.max(now);
         self.fractional = config.saved_max < 1.0;
         self.saved_max = config.saved_max;
-        let saved = self.saved.unwrap_or(config.saved_max);
+        let saved = self.saved.unwrap_or(config.initial);
         let earned = config.per_try + passed * config.per_second;
         self.saved = Some((saved + earned).min(config.saved_max));
     }
@@ -98,14 +120,14 @@
     /// Charges for an incoming call that may repeat earlier work. The call is
     /// served whatever the balance; retries wait until it has been earned back.
     pub fn charge(&mut self, repeats: RepeatProbability) {
-        let saved = self.saved.unwrap_or(DEFAULT_SAVED_MAX);
+        let saved = self.saved.unwrap_or_default();
         self.saved = Some(saved - repeats.expected());
     }
 
     /// What is left.
     pub fn credit(&self) -> RetryCredit {
         RetryCredit {
-            saved: self.saved.unwrap_or(DEFAULT_SAVED_MAX),
+            saved: self.saved.unwrap_or_default(),
             saved_max: self.saved_max,
         }
     }
@@ -117,7 +139,7 @@
     /// exceed the fleet's limit together, and rounding down would allow no
     /// retry at all.
     pub fn spend(&mut self, rng: &mut SmallRng) -> bool {
-        let saved = self.saved.unwrap_or(DEFAULT_SAVED_MAX);
+        let saved = self.saved.unwrap_or_default();
         if saved >= 1.0 {
             self.saved = Some(saved - 1.0);
             return true;
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -21,8 +21,8 @@
     TriesMax,
     /// Retries allowed per 100 first tries.
     RetryPercent,
-    /// Retries to a service that all nodes together may accumulate in addition
-    /// to `RetryPercent`; 0 allows ten to each node.
+    /// Retries to a service that all nodes together may send within ten seconds in
+    /// addition to `RetryPercent`; 0 allows ten to each node.
     RetryBurst,
     /// Servers that are probed for a free slot before a call waits at one of
     /// them.
--- a/crates/core/tests/retry_sum.rs
+++ b/crates/core/tests/retry_sum.rs
@@ -24,6 +24,7 @@
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::load::retry_budget::BudgetConfig;
 use cowslip_core::load::retry_budget::RetryBudget;
+use cowslip_core::load::retry_budget::BURST_TIME;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::verdict::CallVerdict;
@@ -279,22 +280,25 @@
     }
 }
 
-// A fleet of 300 nodes starts and a server is lost. If each node held at least
-// one whole retry, 300 would be sent where 40 are allowed; if it held none, no
-// call could be retried.
+// A fleet of 300 nodes loses a server. If each node held at least one whole retry, 300
+// would be sent where 40 are allowed; if it held none, no call could be retried. A node
+// that has just started holds none yet, since each restart would add to the sum.
 #[test]
-fn starting_nodes_stay_within_the_fleet_burst() {
+fn nodes_together_earn_the_fleet_burst_and_start_with_none_of_it() {
     for nodes in [1, 6, 60, 300, 1_000] {
         let mut rng = SmallRng::seed_from_u64(nodes as u64);
         let terms = BudgetConfig::of(0, 40, nodes);
-        let mut spent = 0;
+        let (mut at_start, mut spent) = (0, 0);
         for _ in 0..nodes {
             let mut budget = RetryBudget::default();
             budget.earn(Duration::ZERO, terms);
-            for _ in 0..50 {
+            at_start += u64::from(budget.spend(&mut rng));
+            for tenth in 0..100 {
+                budget.earn(BURST_TIME + BURST_TIME / 100 * tenth, terms);
                 spent += u64::from(budget.spend(&mut rng));
             }
         }
+        assert_eq!(at_start, 0, "{nodes} nodes");
         assert!((20..=53).contains(&spent), "{nodes} nodes: {spent}");
     }
 }
