Messages to an instance do not wait for a silent connection

Callers saw: nothing by itself; after a cut the instance that was cut off joined up to a second later than it could, and a candidate's question for its vote waited as long.

Cause: each instance has one queue of POST requests, one at a time, each given a second. A request that is sent into a cut stays unanswered after it, since the kernel repeats lost packets at intervals that double (record: 0.985 and 0.999 s from the election to the old leader's knowledge of it).

Change: after 250 ms without an answer the next messages go over another connection; at most four are open to one instance. Attempts to connect stay one at a time, so that an instance that is down costs what it did.

--- a/crates/control/src/peer_sender.rs
+++ b/crates/control/src/peer_sender.rs
@@ -3,13 +3,14 @@
 //! Load pattern: a burst of changes while one instance does not answer. Each
 //! instance has its own task and bounded queue, so that an instance that hangs
 //! delays no other. Messages queued during a POST request are sent with the
-//! next one. A full queue drops new messages: old heartbeats and entries are of
+//! next one, which does not wait long for a request without an answer. A full queue drops new messages: old heartbeats and entries are of
 //! no use, and the agreement sends again what is missing. Snapshots have a
 //! separate queue, since heartbeats behind a snapshot would arrive seconds
 //! late.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use log::debug;
@@ -38,6 +39,13 @@
 /// messages are useless.
 const POST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which messages no longer wait for an unanswered POST request and go over
+/// another connection. In a cut the kernel loses what was sent and repeats it at
+/// intervals that double, so that a connection may stay silent long after the cut.
+/// Longer than an attempt to connect lasts; with [`POST_TIMEOUT`] it bounds the
+/// requests to one instance to four.
+const STALLED_AFTER: Duration = Duration::from_millis(250);
+
 /// Pause after a connection could not be made, before the same messages are sent
 /// again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(25);
@@ -94,37 +102,42 @@
             let call = AgreeCall {
                 messages: std::mem::take(&mut gathered),
             };
-            send_until(&client, address, &call, timeout).await;
+            post_messages(&client, address, call, timeout).await;
         }
     });
     queue
 }
 
 /// Sends messages within `timeout`. If no connection can be made, nothing was
-/// sent, and the same messages are sent again.
+/// sent, and the same messages are sent again. Returns once they are answered or
+/// given up, or after [`STALLED_AFTER`] without an answer, which may still come.
 ///
 /// Load pattern: all instances lose power and return within some tenths of a
 /// second of each other. The first ones ask for votes before the last ones
 /// listen. If those questions were dropped, there would be no leader until they
 /// are asked again, and no node would have a configuration until then.
-async fn send_until(
+async fn post_messages(
     client: &PeerClient,
     address: SocketAddr,
-    call: &AgreeCall,
+    call: AgreeCall,
     timeout: Duration,
 ) {
+    let call = Rc::new(call);
     let deadline = BootInstant::now() + timeout;
     loop {
         let left = deadline.saturating_duration_since(BootInstant::now());
-        let Err(error) = client.send(address, call, left).await else {
-            return;
-        };
-        debug!(
-            "event=agree-failed process=control to={address} error={}",
-            LogValue(&error)
-        );
-        let connected = !matches!(error, PeerError::Connect(_));
-        if connected || left <= RECONNECT_PAUSE {
+        let (client, sent) = (client.clone(), Rc::clone(&call));
+        let sending = actix_rt::spawn(async move {
+            let error = client.send(address, &*sent, left).await.err()?;
+            debug!(
+                "event=agree-failed process=control to={address} error={}",
+                LogValue(&error)
+            );
+            Some(error)
+        });
+        let sent = actix_rt::time::timeout(STALLED_AFTER, sending).await;
+        let unconnected = matches!(sent, Ok(Ok(Some(PeerError::Connect(_)))));
+        if !unconnected || left <= RECONNECT_PAUSE {
             return;
         }
         actix_rt::time::sleep(RECONNECT_PAUSE).await;
