--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -55,6 +55,9 @@
 /// Upper bound of the simulated work of a request, in milliseconds.
 const WORK_MS_MAX: u64 = 60;
 
+/// Share of the calls that a failing server answers with a failure.
+const FAILED_SHARE: f64 = 0.5;
+
 /// Maximum size of a request body, in bytes.
 const BODY_BYTES_MAX: usize = 1024 * 1024;
 
@@ -88,6 +91,8 @@
     leaving_span: Cell<Option<usize>>,
     /// Set while the server has crashed and is not back.
     crashed: Cell<bool>,
+    /// Set while the server fails calls.
+    failing: Cell<bool>,
 }
 
 impl RecordingServer {
@@ -107,6 +112,7 @@
             limit_span: Cell::new(None),
             leaving_span: Cell::new(None),
             crashed: Cell::new(false),
+            failing: Cell::new(false),
         });
         let handler = Rc::new(RecordingHandler(Rc::clone(&state)));
         let listener = HttpListener::bind(listen, CONNECTIONS_MAX, handler)?;
@@ -156,6 +162,11 @@
         self.state.change_span(&self.state.leaving_span, kind);
     }
 
+    /// Starts or ends a time in which the server fails calls.
+    pub fn set_failing(&self, failing: bool) {
+        self.state.failing.set(failing);
+    }
+
     /// Ends the run of the server and begins another, which states nothing.
     pub fn begin_run(&self) {
         self.state.run.set(self.state.run.get() + 1);
@@ -218,6 +229,10 @@
     actix_rt::time::sleep(Duration::from_millis(work)).await;
     let text = String::from_utf8_lossy(&body);
     let mut reply = http_reply::text(StatusCode::OK, format!("{id} {text}"));
+    if state.failing.get() && rand::rng().random_bool(FAILED_SHARE) {
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        reply = http_reply::text(status, "this server fails calls");
+    }
     if let Ok(echoed) = HeaderValue::from_str(&id) {
         let name = HeaderName::from_static(REQUEST_ID);
         reply.head_mut().headers_mut().insert(name, echoed);
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -131,6 +131,8 @@
     /// Sends a request again and again that crashes each backend server that begins
     /// it.
     CrashingRequest(Duration),
+    /// Makes all backend servers fail half of their calls.
+    FailCalls(Duration),
     /// Kills all processes at once and restarts them.
     KillAll(Duration),
 }
@@ -159,6 +161,7 @@
             | Self::Leave(_, time)
             | Self::Evacuate(_, time)
             | Self::CrashingRequest(time)
+            | Self::FailCalls(time)
             | Self::Wipe(_, time)
             | Self::Replace(_, time)
             | Self::KillAll(time) => *time,
@@ -198,6 +201,9 @@
 /// the effects of most other faults last.
 const CRASHING_REQUEST_SHARE: f64 = 0.4;
 
+/// Share of the seeds in which servers fail calls.
+const FAILED_CALLS_SHARE: f64 = 0.5;
+
 /// Share of the seeds with cuts, and the largest number of cuts in a run.
 const CUTS_SHARE: f64 = 0.6;
 const CUTS_MAX: usize = 4;
@@ -248,6 +254,7 @@
     }
     faults.extend(draw_crashing_request(seed, time));
     faults.extend(draw_cuts(seed, time));
+    faults.extend(draw_failed_calls(seed, time));
     faults.sort_by_key(|timed| timed.at);
     faults
 }
@@ -264,6 +271,18 @@
     Some(TimedFault { at, fault })
 }
 
+/// Draws from a generator of its own, so that the other faults of a seed stay the same.
+fn draw_failed_calls(seed: u64, time: Duration) -> Option<TimedFault> {
+    let mut random = SmallRng::seed_from_u64(seed.rotate_left(32));
+    if !random.random_bool(FAILED_CALLS_SHARE) {
+        return None;
+    }
+    let at = time.mul_f64(random.random_range(0.0..0.6));
+    let duration = Duration::from_millis(random.random_range(3_000..10_000));
+    let fault = Fault::FailCalls(duration);
+    Some(TimedFault { at, fault })
+}
+
 /// Draws cuts from a generator of their own, so that the other faults of a seed stay
 /// the same. They may overlap any other fault.
 fn draw_cuts(seed: u64, time: Duration) -> Vec<TimedFault> {
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -385,6 +385,12 @@
                 self.send_crashing_request(time).await;
                 return Ok(());
             }
+            Fault::FailCalls(time) => {
+                self.set_failing(true);
+                actix_rt::time::sleep(time).await;
+                self.set_failing(false);
+                return Ok(());
+            }
             Fault::KillAll(time) => self.kill_all(time).await?,
         }
         self.record_disruption(disrupted_node(fault), from);
@@ -433,6 +439,12 @@
         operator::order_evacuation(controls, end).await;
     }
 
+    fn set_failing(&self, failing: bool) {
+        for server in &self.fleet.servers {
+            server.set_failing(failing);
+        }
+    }
+
     /// Sends a request that crashes servers to one node after another for `time`, and
     /// brings each crashed server back.
     async fn send_crashing_request(&self, time: Duration) {
@@ -630,6 +642,7 @@
         | Fault::Limit(..)
         | Fault::Leave(..)
         | Fault::Evacuate(..)
+        | Fault::FailCalls(_)
         | Fault::CrashingRequest(_) => None,
     }
 }
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -5,15 +5,24 @@
 use std::time::Duration;
 
 use cowslip_soak::fault_plan;
+use cowslip_soak::fault_plan::CutDirection;
+use cowslip_soak::fault_plan::CutScope;
 use cowslip_soak::fault_plan::Fault;
+use cowslip_soak::fault_plan::ProcessId;
+use cowslip_soak::fault_plan::TimedFault;
+use cowslip_soak::fault_plan::NODES;
 use cowslip_soak::soak_run;
 
 fn run_seed(seed: u64, seconds: u64) {
+    let faults = fault_plan::faults(seed, Duration::from_secs(seconds));
+    run_faults(seed, &faults);
+}
+
+fn run_faults(seed: u64, faults: &[TimedFault]) {
     let soak = Path::new(env!("CARGO_BIN_EXE_cowslip-soak"));
     let programs = soak.parent().expect("a folder of programs");
     let folder = tempfile::tempdir().expect("a folder");
-    let time = Duration::from_secs(seconds);
-    let report = soak_run::run_seed(seed, time, programs, folder.path());
+    let report = soak_run::run_faults(seed, faults, programs, folder.path());
     let report = actix_rt::System::new().block_on(report);
     let report = report.expect("the soak can run");
     if !report.violations.is_empty() {
@@ -43,6 +52,40 @@
     run_seed(7113, 20);
 }
 
+fn at_millis(millis: u64, fault: Fault) -> TimedFault {
+    let at = Duration::from_millis(millis);
+    TimedFault { at, fault }
+}
+
+// Guards against changes that are not in force after a leader was cut off for a while
+// and has returned as a follower.
+#[test]
+fn changes_come_into_force_after_a_leader_was_cut_off() {
+    let cut = |scope, millis| {
+        Fault::Cut(scope, CutDirection::Both, Duration::from_millis(millis))
+    };
+    let faults = [
+        at_millis(1_000, cut(CutScope::Leader, 1_500)),
+        at_millis(8_000, cut(CutScope::LeaderFromAll, 2_500)),
+        at_millis(16_000, cut(CutScope::Domain(0), 1_500)),
+    ];
+    run_faults(46, &faults);
+}
+
+// Guards against retries that each start of a node adds to what the fleet allows, while
+// the servers fail calls.
+#[test]
+fn restarting_nodes_do_not_multiply_retries() {
+    let mut faults = vec![at_millis(500, Fault::FailCalls(Duration::from_secs(11)))];
+    for second in 1..11 {
+        for node in 0..NODES {
+            let kill = Fault::Kill(ProcessId::Node(node), Duration::from_millis(50));
+            faults.push(at_millis(second * 1_000 + node as u64 * 20, kill));
+        }
+    }
+    run_faults(47, &faults);
+}
+
 // A seed must always give the same faults, or a failed run could not be repeated.
 // Only one control instance may be down at a time, or acknowledged changes could
 // be lost.
