The soak looks up who opened a connection only while a link is cut

Connections are looked up when a cut makes it matter. The soak prints by how much it was late itself.

--- a/soak/src/bin/cowslip-soak.rs
+++ b/soak/src/bin/cowslip-soak.rs
@@ -19,6 +19,9 @@
 const USAGE: &str =
     "Injects random faults into real processes and checks what callers observe";
 
+/// Delay of the soak itself from which its findings may be its own.
+const OWN_DELAY_MAX: Duration = Duration::from_millis(250);
+
 /// Maximum number of violations printed for a seed; one cause leads to many.
 const VIOLATIONS_PRINTED_MAX: usize = 12;
 
@@ -124,6 +127,10 @@
             peak.repeats, peak.allowed
         );
     }
+    if report.own_delay > OWN_DELAY_MAX {
+        let late = report.own_delay;
+        println!("  the soak itself was late by {late:?}: run fewer at once");
+    }
     for violation in report.violations.iter().take(VIOLATIONS_PRINTED_MAX) {
         println!("  {violation}");
     }
--- a/soak/src/link_cuts.rs
+++ b/soak/src/link_cuts.rs
@@ -55,6 +55,11 @@
         self.changes.send_replace(());
     }
 
+    /// Returns whether any link is cut now.
+    pub fn is_active(&self) -> bool {
+        self.cuts.borrow().values().any(|count| *count > 0)
+    }
+
     /// Returns whether data on the link is lost now.
     pub fn is_cut(&self, link: DirectedLink) -> bool {
         self.cuts
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,6 +1,7 @@
 //! TCP proxy on loopback that injects network faults.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -93,13 +94,12 @@
         let Ok((client, from)) = listener.accept().await else {
             continue;
         };
-        let route = config.links.as_ref().and_then(|links| {
-            let opener = links.processes.opener(from, config.address)?;
-            Some(CuttableRoute {
-                forth: (opener, links.target),
-                back: (links.target, opener),
-                cuts: Rc::clone(&links.cuts),
-            })
+        let links = config.links.clone();
+        let route = links.map(|links| CuttableRoute {
+            client: from,
+            listen: config.address,
+            links,
+            opener: Rc::default(),
         });
         let connection = ProxiedConnection {
             mode: config.mode.clone(),
@@ -112,14 +112,34 @@
 /// Both directions of a connection between two processes of the fleet.
 #[derive(Clone)]
 struct CuttableRoute {
-    forth: DirectedLink,
-    back: DirectedLink,
-    cuts: Rc<LinkCuts>,
+    client: SocketAddr,
+    listen: SocketAddr,
+    links: ProcessLinks,
+    /// The process that opened the connection, once a cut makes it matter: looking it
+    /// up for each connection would stall the proxies of a fleet that reconnects.
+    opener: Rc<OnceCell<Option<ProcessId>>>,
 }
 
 impl CuttableRoute {
+    /// Returns the link in one direction; `None` if no link is cut, or the process
+    /// that opened the connection is not of the fleet.
+    fn link(&self, outbound: bool) -> Option<DirectedLink> {
+        if !self.links.cuts.is_active() {
+            return None;
+        }
+        let find = || self.links.processes.opener(self.client, self.listen);
+        let opener = (*self.opener.get_or_init(find))?;
+        let target = self.links.target;
+        Some(if outbound {
+            (opener, target)
+        } else {
+            (target, opener)
+        })
+    }
+
     fn is_cut(&self) -> bool {
-        self.cuts.is_cut(self.forth) || self.cuts.is_cut(self.back)
+        let mut links = [true, false].into_iter().filter_map(|way| self.link(way));
+        links.any(|link| self.links.cuts.is_cut(link))
     }
 }
 
@@ -183,7 +203,8 @@
         let Some(route) = &self.route else {
             return;
         };
-        let link = if outbound { route.forth } else { route.back };
-        route.cuts.transmit(link).await;
+        if let Some(link) = route.link(outbound) {
+            route.links.cuts.transmit(link).await;
+        }
     }
 }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -100,6 +100,8 @@
     pub longest_delay: Duration,
     /// The most repeats of requests in a window; `None` if there were none.
     pub repeats: Option<RepeatPeak>,
+    /// Longest time by which the soak itself was late, and its proxies with it.
+    pub own_delay: Duration,
     /// Invariants that were violated.
     pub violations: Vec<InvariantViolation>,
 }
@@ -110,6 +112,8 @@
     observations: Rc<RefCell<Observations>>,
     /// Number of faults that are not undone yet; the run waits for them.
     active_faults: Cell<usize>,
+    /// Longest time by which this process was late: its proxies stood still as long.
+    own_delay: Cell<Duration>,
     /// Processes with a planned stop in progress, whose exit is expected.
     stop_requested: RefCell<BTreeSet<ProcessId>>,
 }
@@ -140,6 +144,7 @@
         started,
         observations,
         active_faults: Cell::new(0),
+        own_delay: Cell::new(Duration::ZERO),
         stop_requested: RefCell::default(),
     });
     let finished = Rc::new(Cell::new(false));
@@ -164,7 +169,10 @@
     run.observations.borrow_mut().live_voters = Some(voters);
     run.stop_all().await?;
     let observations = run.observations.borrow();
-    Ok(report(&observations, faults.len(), end))
+    Ok(SoakReport {
+        own_delay: run.own_delay.get(),
+        ..report(&observations, faults.len(), end)
+    })
 }
 
 fn report(observations: &Observations, faults: usize, end: Duration) -> SoakReport {
@@ -178,6 +186,7 @@
         judged: propagation_checks::judged_share(observations),
         longest_delay: propagation_checks::longest_delay(observations),
         repeats: retry_checks::repeat_peak(observations),
+        own_delay: Duration::ZERO,
         violations: invariants::violations(observations, end),
     }
 }
@@ -195,7 +204,10 @@
                 run.observations.borrow_mut().unexpected_exits.push(details);
             }
         }
+        let slept = Instant::now();
         actix_rt::time::sleep(POLL_INTERVAL).await;
+        let late = slept.elapsed().saturating_sub(POLL_INTERVAL);
+        run.own_delay.set(run.own_delay.get().max(late));
     }
 }
 
