Split the soak's run and the tests of leader names; name the times of faults

Read as a newcomer: soak_run held the request that crashes servers and which nodes a fault affects, which have files of their own now; a time in which a fault is active is a FaultSpan. No behaviour changes.

--- a/crates/control/src/peer_sender.rs
+++ b/crates/control/src/peer_sender.rs
@@ -3,10 +3,10 @@
 //! Load pattern: a burst of changes while one instance does not answer. Each
 //! instance has its own task and bounded queue, so that an instance that hangs
 //! delays no other. Messages queued during a POST request are sent with the
-//! next one, which does not wait long for a request without an answer. A full queue drops new messages: old heartbeats and entries are of
-//! no use, and the agreement sends again what is missing. Snapshots have a
-//! separate queue, since heartbeats behind a snapshot would arrive seconds
-//! late.
+//! next one, which does not wait long for a request without an answer. A full
+//! queue drops new messages: old heartbeats and entries are of no use, and the
+//! agreement sends again what is missing. Snapshots have a separate queue, since
+//! heartbeats behind a snapshot would arrive seconds late.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/core/tests/agreement/main.rs
+++ b/crates/core/tests/agreement/main.rs
@@ -2,6 +2,7 @@
 
 mod failures;
 mod fleet;
+mod leader_hints;
 mod properties;
 mod replacements;
 mod restarts;
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -136,7 +136,7 @@
 
 /// A time in which a fault was active that may keep changes from a node.
 #[derive(Clone, Copy, Debug)]
-pub struct Disturbance {
+pub struct FaultSpan {
     /// Index of the node; `None` if the fault affects the control instances or the way
     /// to them, and so all nodes.
     pub node: Option<usize>,
@@ -192,7 +192,7 @@
     /// Periods during which the checks of a node allow for a fault.
     pub disruptions: Vec<Disruption>,
     /// Times in which faults were active that may keep changes from nodes.
-    pub disturbances: Vec<Disturbance>,
+    pub fault_spans: Vec<FaultSpan>,
     /// Planned stops of nodes.
     pub stops: Vec<PlannedStop>,
     /// Processes that exited without being asked to, and faults that could not
--- a/soak/src/propagation_checks.rs
+++ b/soak/src/propagation_checks.rs
@@ -10,7 +10,7 @@
 /// Time after the acceptance of a change from which it must be in force.
 const PROPAGATION_MAX: Duration = Duration::from_secs(2);
 
-/// Time after the end of a disturbance from which changes must be in force.
+/// Time after the end of a fault from which changes must be in force.
 const CALM_TIME: Duration = Duration::from_secs(3);
 
 /// How many of the requests for routes that were accepted long enough before could be
@@ -19,7 +19,7 @@
 pub struct JudgedShare {
     /// Requests sent [`PROPAGATION_MAX`] or more after the acceptance of their route.
     pub sent: usize,
-    /// Those among them that no disturbance excuses.
+    /// Those among them that no fault excuses.
     pub judged: usize,
 }
 
@@ -57,7 +57,7 @@
 }
 
 /// Returns the longest time for which a request was still refused for an accepted
-/// route, counted from the acceptance and from the end of the last disturbance.
+/// route, counted from the acceptance and from the end of the last fault.
 pub fn longest_delay(observations: &Observations) -> Duration {
     let mut longest = Duration::ZERO;
     for call in observations
@@ -76,15 +76,14 @@
     longest
 }
 
-/// Returns the end of the last disturbance before the request; the time at which it was
+/// Returns the end of the last fault before the request; the time at which it was
 /// sent if one was in progress.
 fn calm_since(observations: &Observations, call: &SentCall) -> Duration {
-    let disturbances = observations.disturbances.iter();
-    let affecting = disturbances.filter(|disturbance| {
-        disturbance.node.is_none_or(|node| node == call.node)
-            && disturbance.from <= call.sent
+    let fault_spans = observations.fault_spans.iter();
+    let affecting = fault_spans.filter(|span| {
+        span.node.is_none_or(|node| node == call.node) && span.from <= call.sent
     });
-    let ends = affecting.map(|disturbance| disturbance.until.min(call.sent));
+    let ends = affecting.map(|span| span.until.min(call.sent));
     ends.max().unwrap_or_default()
 }
 
@@ -104,12 +103,12 @@
     })
 }
 
-/// Returns true if nothing disturbed the control instances or the request's node from
+/// Returns true if nothing affected the control instances or the request's node from
 /// [`CALM_TIME`] before the request was sent until it ended.
 fn is_judged(observations: &Observations, call: &SentCall) -> bool {
-    observations.disturbances.iter().all(|disturbance| {
-        let elsewhere = disturbance.node.is_some_and(|node| node != call.node);
-        let over = call.sent >= disturbance.until + CALM_TIME;
-        elsewhere || over || call.ended < disturbance.from
+    observations.fault_spans.iter().all(|span| {
+        let elsewhere = span.node.is_some_and(|node| node != call.node);
+        let over = call.sent >= span.until + CALM_TIME;
+        elsewhere || over || call.ended < span.from
     })
 }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -9,21 +9,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use actix_http::header::HOST;
 use log::info;
 use nix::sys::signal::Signal;
 
 use cowslip_core::change::EvacuationChange;
 use cowslip_wire::access_key::AccessKey;
 
-use crate::backend::CRASHING_PATH;
 use crate::callers;
 use crate::callers::CallerContext;
 use crate::fault_plan;
 use crate::fault_plan::CutDirection;
 use crate::fault_plan::CutScope;
 use crate::fault_plan::Fault;
-use crate::fault_plan::Link;
 use crate::fault_plan::LinkMode;
 use crate::fault_plan::ProcessId;
 use crate::fault_plan::TimedFault;
@@ -39,8 +36,8 @@
 use crate::invariants::RECOVERY_WINDOW;
 use crate::observations::CallOutcome;
 use crate::observations::Disruption;
-use crate::observations::Disturbance;
 use crate::observations::EvacuationSpan;
+use crate::observations::FaultSpan;
 use crate::observations::NodePause;
 use crate::observations::Observations;
 use crate::observations::PlannedStop;
@@ -51,6 +48,12 @@
 use crate::retry_checks;
 use crate::retry_checks::RepeatPeak;
 use crate::soak_error::SoakError;
+use crate::soak_run::fault_effects::affected_node;
+use crate::soak_run::fault_effects::disrupted_node;
+use crate::soak_run::fault_effects::node_index;
+
+mod crashing_request;
+mod fault_effects;
 
 /// Number of callers; each sends about ten requests per second.
 const CALLERS: u64 = 16;
@@ -72,13 +75,6 @@
 /// Slots that calls are offered before they wait, in every other seed.
 const SLOT_PROBES: u64 = 3;
 
-/// Timeout of a request that crashes servers, and the pause before the next one.
-const CRASHING_TIMEOUT: Duration = Duration::from_millis(300);
-const CRASHING_PAUSE: Duration = Duration::from_millis(100);
-
-/// Host of a request that crashes servers, the same at each node.
-const CRASHING_HOST: &str = "records.example";
-
 /// Interval at which processes and conditions are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -95,8 +91,8 @@
     pub accepted: usize,
     /// Probes of accepted changes that no fault excuses.
     pub judged: JudgedShare,
-    /// Longest time that an accepted change was not in force, counted from the last
-    /// disturbance.
+    /// Longest time that an accepted change was not in force, counted from the end of
+    /// the last fault.
     pub longest_delay: Duration,
     /// The most repeats of requests in a window; `None` if there were none.
     pub repeats: Option<RepeatPeak>,
@@ -309,26 +305,26 @@
 
     async fn inject_fault(&self, fault: Fault) -> Result<(), SoakError> {
         let from = self.started.elapsed();
-        let disturbance = self.begin_disturbance(fault, from);
+        let span = self.begin_fault_span(fault, from);
         let injected = self.inject_fault_at(fault, from).await;
-        if let Some(index) = disturbance {
+        if let Some(index) = span {
             let until = self.started.elapsed();
-            self.observations.borrow_mut().disturbances[index].until = until;
+            self.observations.borrow_mut().fault_spans[index].until = until;
         }
         injected
     }
 
     /// Records a fault that may keep changes from nodes as lasting until its end is
     /// known; returns its index.
-    fn begin_disturbance(&self, fault: Fault, from: Duration) -> Option<usize> {
-        let node = disturbed_node(fault)?;
-        let disturbances = &mut self.observations.borrow_mut().disturbances;
-        disturbances.push(Disturbance {
+    fn begin_fault_span(&self, fault: Fault, from: Duration) -> Option<usize> {
+        let node = affected_node(fault)?;
+        let fault_spans = &mut self.observations.borrow_mut().fault_spans;
+        fault_spans.push(FaultSpan {
             node,
             from,
             until: Duration::MAX / 2,
         });
-        Some(disturbances.len() - 1)
+        Some(fault_spans.len() - 1)
     }
 
     async fn inject_fault_at(
@@ -457,50 +453,6 @@
         }
     }
 
-    /// Sends a request that crashes servers to one node after another for `time`, and
-    /// brings each crashed server back.
-    async fn send_crashing_request(&self, time: Duration) {
-        let from = self.started.elapsed();
-        let number = from.as_millis() as u64;
-        let client = awc::Client::builder().timeout(CRASHING_TIMEOUT).finish();
-        for node in self.fleet.nodes.iter().cycle() {
-            if self.started.elapsed() > from + time {
-                return;
-            }
-            let url = format!("http://{}{CRASHING_PATH}{number}", node.callers);
-            let request = client.get(url).insert_header((HOST, CRASHING_HOST));
-            let attempt = actix_rt::spawn(request.send());
-            // A crashed server is to break its connections while the caller waits.
-            while !attempt.is_finished() {
-                actix_rt::time::sleep(POLL_INTERVAL).await;
-                self.restart_crashed_servers().await;
-            }
-            actix_rt::time::sleep(CRASHING_PAUSE).await;
-        }
-    }
-
-    async fn restart_crashed_servers(&self) {
-        for at in 0..NODES {
-            if self.fleet.servers[at].has_crashed() {
-                self.restart_server(at).await;
-            }
-        }
-    }
-
-    /// Breaks the connections of a crashed backend server and begins its next run.
-    async fn restart_server(&self, at: usize) {
-        info!(
-            "event=server-crashed at={:?} server={at}",
-            self.started.elapsed()
-        );
-        let proxy = self.fleet.proxy(Link::ToServer(at));
-        proxy.set_mode(LinkMode::Reset);
-        actix_rt::time::sleep(CRASHING_PAUSE).await;
-        self.fleet.servers[at].begin_run();
-        proxy.set_mode(LinkMode::Pass);
-        self.fleet.announce(at).await;
-    }
-
     /// Kills a process, applies `damage` to its files, and restarts it after `time`.
     async fn kill(
         &self,
@@ -614,47 +566,3 @@
         Ok(())
     }
 }
-
-fn node_index(id: ProcessId) -> Option<usize> {
-    match id {
-        ProcessId::Node(at) => Some(at),
-        ProcessId::Control(_) => None,
-    }
-}
-
-/// Returns the only node that a fault affects; `None` if it may affect the whole
-/// fleet.
-fn disrupted_node(fault: Fault) -> Option<usize> {
-    match fault {
-        Fault::Pause(id, _) | Fault::Kill(id, _) => node_index(id),
-        Fault::Link(Link::ToServer(at), ..) => Some(at),
-        _ => None,
-    }
-}
-
-/// Returns the only node that a fault may keep changes from, `Some(None)` if these are
-/// all nodes, or `None` if the fault has nothing to do with changes.
-fn disturbed_node(fault: Fault) -> Option<Option<usize>> {
-    match fault {
-        Fault::Pause(id, _) | Fault::Kill(id, _) | Fault::Stop(id, _) => {
-            Some(node_index(id))
-        }
-        Fault::Cut(CutScope::Node(at), ..) => Some(Some(at)),
-        Fault::Cut(CutScope::Nodes(..), ..) => None,
-        Fault::Cut(..)
-        | Fault::TornWrite(..)
-        | Fault::Wipe(..)
-        | Fault::Replace(..)
-        | Fault::ReplaceAndKillAll(..)
-        | Fault::Link(Link::ToControl(_), ..)
-        | Fault::KillAll(_) => Some(None),
-        Fault::Link(Link::ToServer(_), ..)
-        | Fault::Reload(_)
-        | Fault::Drain(..)
-        | Fault::Limit(..)
-        | Fault::Leave(..)
-        | Fault::Evacuate(..)
-        | Fault::FailCalls(_)
-        | Fault::CrashingRequest(_) => None,
-    }
-}
--- a/soak/tests/invariants.rs
+++ b/soak/tests/invariants.rs
@@ -7,8 +7,8 @@
 use cowslip_soak::observations::AcceptedRoute;
 use cowslip_soak::observations::CallOutcome;
 use cowslip_soak::observations::Disruption;
-use cowslip_soak::observations::Disturbance;
 use cowslip_soak::observations::EvacuationSpan;
+use cowslip_soak::observations::FaultSpan;
 use cowslip_soak::observations::NodePause;
 use cowslip_soak::observations::Observations;
 use cowslip_soak::observations::PlannedStop;
@@ -189,7 +189,7 @@
 }
 
 #[test]
-fn a_change_not_in_force_is_found_unless_the_node_was_disturbed() {
+fn a_change_not_in_force_is_found_unless_a_fault_affected_the_node() {
     let accept = |observations: &mut Observations| {
         observations.accepted.push(AcceptedRoute {
             route: 4,
@@ -202,10 +202,10 @@
     let late = call("a", 13, Some(4), refused("no-route"));
     let invariant = ["accepted changes come into force"];
     assert_eq!(violations(vec![late.clone()], accept), invariant);
-    let disturbed = |node: usize| {
+    let affected = |node: usize| {
         move |observations: &mut Observations| {
             accept(observations);
-            observations.disturbances.push(Disturbance {
+            observations.fault_spans.push(FaultSpan {
                 node: Some(node),
                 from: secs(8),
                 until: secs(11),
@@ -213,23 +213,23 @@
         }
     };
     let excused = vec![late.clone(), call("b", 20, Some(4), answered())];
-    assert!(violations(excused, disturbed(1)).is_empty());
-    assert_eq!(violations(vec![late], disturbed(2)), invariant);
+    assert!(violations(excused, affected(1)).is_empty());
+    assert_eq!(violations(vec![late], affected(2)), invariant);
     let later = call("a", 15, Some(4), refused("no-route"));
-    assert_eq!(violations(vec![later], disturbed(1)), invariant);
+    assert_eq!(violations(vec![later], affected(1)), invariant);
 }
 
 // Guards against a schedule whose faults excuse every request, so that it proves
 // nothing about changes.
 #[test]
 fn a_run_that_judges_hardly_any_probe_is_found() {
-    let disturb = |observations: &mut Observations| {
+    let affect = |observations: &mut Observations| {
         observations.accepted.push(AcceptedRoute {
             route: 4,
             at: secs(10),
         });
         observations.final_routes.push(4);
-        observations.disturbances.push(Disturbance {
+        observations.fault_spans.push(FaultSpan {
             node: None,
             from: secs(8),
             until: secs(40),
@@ -241,10 +241,10 @@
     };
     let mut calls = excused(9);
     calls.push(call("b", 50, Some(4), answered()));
-    assert_eq!(violations(calls, disturb), ["enough probes are judged"]);
+    assert_eq!(violations(calls, affect), ["enough probes are judged"]);
     let mut calls = excused(3);
     calls.push(call("b", 50, Some(4), answered()));
-    assert!(violations(calls, disturb).is_empty());
+    assert!(violations(calls, affect).is_empty());
 }
 
 #[test]
