The first wait after a failure keeps to its bound

A backoff that is bounded below 200 ms drew its first wait, and the first one after each answer, from 200 ms all the same.

--- a/crates/core/src/reconnect_backoff.rs
+++ b/crates/core/src/reconnect_backoff.rs
@@ -45,13 +45,14 @@
     /// often without harm, and reconnects sooner.
     pub fn bounded(mut self, longest: Duration) -> Self {
         self.ceiling_max = longest.min(CEILING_MAX);
+        self.reset();
         self
     }
 
     /// Resets the backoff after a source has answered, so the wait after the
     /// next failure is short.
     pub fn reset(&mut self) {
-        self.ceiling = CEILING_MIN;
+        self.ceiling = CEILING_MIN.min(self.ceiling_max);
     }
 
     /// Wait after a failure, drawn uniformly from zero to an upper bound that
--- a/crates/core/tests/reconnect.rs
+++ b/crates/core/tests/reconnect.rs
@@ -111,6 +111,21 @@
     }
 }
 
+// Guards against a first wait that is longer than the bound set for a small fleet.
+#[test]
+fn no_wait_exceeds_its_bound() {
+    let bound = Duration::from_millis(50);
+    for seed in 0..200 {
+        let mut backoff = ReconnectBackoff::new(seed).bounded(bound);
+        for _ in 0..2 {
+            let wait = backoff.next_wait();
+            assert!(wait <= bound, "seed {seed}: {wait:?}");
+        }
+        backoff.reset();
+        assert!(backoff.next_wait() <= bound, "seed {seed}, after a reset");
+    }
+}
+
 // Guards against a node that stays with a dead source, or with a remote one
 // when the local one is back. The node switches to another source at once and
 // returns to the source in its own failure domain later.
