Weights of a split are summed in 64 bits, as the check sums them

A document whose weights sum to more than 32 bits is valid, and the router summed them in 32: a debug build panicked at the first call of the route, a release build wrapped and gave the parts other shares.

Test: a_split_with_the_largest_weights_is_kept, red before this change (attempt to add with overflow), green with it.

--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -607,16 +607,18 @@
 
 /// Draws the service for a call, by weight if the route splits its traffic.
 fn draw_service<'a>(route: &'a RouteSpec, rng: &mut SmallRng) -> &'a Arc<str> {
-    let weight_sum: u32 = route.split.iter().map(|part| part.weight).sum();
+    let weights = route.split.iter().map(|part| u64::from(part.weight));
+    let weight_sum: u64 = weights.sum();
     if weight_sum == 0 {
         return &route.service;
     }
     let mut drawn = rng.random_range(0..weight_sum);
     for part in &route.split {
-        if drawn < part.weight {
+        let weight = u64::from(part.weight);
+        if drawn < weight {
             return &part.service;
         }
-        drawn -= part.weight;
+        drawn -= weight;
     }
     &route.service
 }
--- a/crates/core/tests/load_router.rs
+++ b/crates/core/tests/load_router.rs
@@ -12,6 +12,7 @@
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::RouteSpec;
 use cowslip_core::document::ServiceSpec;
+use cowslip_core::document::WeightedService;
 use cowslip_core::entry_router::CallHead;
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::entry_router::EntryRouter;
@@ -35,6 +36,10 @@
 };
 
 fn router(servers: u16) -> EntryRouter {
+    router_with_split(servers, Vec::new())
+}
+
+fn router_with_split(servers: u16, split: Vec<WeightedService>) -> EntryRouter {
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
@@ -45,10 +50,15 @@
         service: "documents".into(),
         priority: CallPriority::Normal,
         internal: false,
+        split,
         ..RouteSpec::default()
     };
+    let mut services = BTreeMap::from([("documents".into(), spec.clone())]);
+    for part in &route.split {
+        services.insert(Arc::clone(&part.service), spec.clone());
+    }
     let document = FleetDocument {
-        services: BTreeMap::from([("documents".into(), spec)]),
+        services,
         routes: vec![Arc::new(route)],
         ..FleetDocument::default()
     };
@@ -246,3 +256,28 @@
     assert!(refused[0] > 200, "{refused:?}");
     assert_eq!(refused[1], 0);
 }
+
+// Guards against weights whose sum exceeds 32 bits, which the check of a document
+// allows: calls would all go to one service, or none be routed.
+#[test]
+fn a_split_with_the_largest_weights_is_kept() {
+    let part = |service: &str| WeightedService {
+        service: service.into(),
+        weight: u32::MAX,
+    };
+    let mut router = router_with_split(3, vec![part("documents"), part("archive")]);
+    let mut documents = 0;
+    for _ in 0..400 {
+        let head = CallHead {
+            host: "",
+            path: "/lots",
+            origin: CallOrigin::Outside,
+            customer: "clerk",
+            idempotent: true,
+            deadline: None,
+        };
+        let plan = router.plan(NOW, &head).expect("there is a route");
+        documents += u32::from(*plan.service == *"documents");
+    }
+    assert!((140..260).contains(&documents), "{documents} of 400");
+}
