No run of the soak is given an address of another one in its process

Traced: the runs of one test process share loopback addresses, a free port was bound and closed to learn its number, and two runs could be told the same one. Six runs at once, with more proxies each, made it likely.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fs;
 use std::fs::OpenOptions;
 use std::io::Write;
@@ -12,6 +13,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Instant;
 
 use crate::backend::RecordingServer;
@@ -47,6 +50,9 @@
 /// Beginning of a log record, as a crash during a write leaves it.
 const TORN_RECORD: [u8; 11] = [40, 1, 0, 0, 7, 7, 7, 7, 1, 2, 3];
 
+/// Addresses that [`unused_address`] has returned in this process.
+static RETURNED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
 /// Listen addresses of a node.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeAddresses {
@@ -86,12 +92,19 @@
 
 /// Returns a free address on a loopback IP derived from the process ID, which
 /// other processes do not use, so that no outgoing connection can take the port
-/// before its owner binds it. `number` is the last octet.
-fn unused_address(number: usize) -> Result<SocketAddr, SoakError> {
+/// before its owner binds it. `number` is the last octet. No address is returned
+/// twice, since several runs of one process share the IPs.
+pub fn unused_address(number: usize) -> Result<SocketAddr, SoakError> {
     let pid = std::process::id().to_be_bytes();
     let host = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], number as u8));
-    let bound = TcpListener::bind(SocketAddr::new(host, 0))?;
-    Ok(bound.local_addr()?)
+    loop {
+        let bound = TcpListener::bind(SocketAddr::new(host, 0))?;
+        let address = bound.local_addr()?;
+        let mut returned = RETURNED.lock().unwrap_or_else(PoisonError::into_inner);
+        if returned.insert(address) {
+            return Ok(address);
+        }
+    }
 }
 
 fn unused_addresses(first: usize, count: usize) -> Result<Vec<SocketAddr>, SoakError> {
