--- a/crates/core/tests/version_follower.rs
+++ b/crates/core/tests/version_follower.rs
@@ -106,6 +106,48 @@
     assert_eq!(follower.held(), at(5));
 }
 
+// Guards against a starting node that turns from source to source without ever getting a
+// version: while servers come and go each of them answers at once with what it knows of
+// these, and needs a moment more to confirm its version.
+#[test]
+fn a_starting_node_asks_a_source_in_touch_with_the_leader_again() {
+    let mut follower = VersionFollower::new(Duration::ZERO);
+    let now = Duration::from_millis(100);
+    let mut history = source(3);
+    let mut answer = |follower: &mut VersionFollower, domain: &str, confirmed: bool| {
+        let update = update_for(&mut history, follower);
+        let in_touch = SourceProof {
+            fresh_ms: 1_000,
+            ..proof(domain, 3, confirmed)
+        };
+        let mut step = follower.handle_update(now, in_touch, None, update);
+        while let FollowStep::Fetch { version, at } = step {
+            step = follower.chunk(now, history.chunk(version, at).as_deref());
+        }
+        step
+    };
+    assert_eq!(answer(&mut follower, "voss", false), FollowStep::Ask);
+    assert_eq!(answer(&mut follower, "voss", false), FollowStep::Ask);
+    let offered = FollowStep::Offer(snapshot(3));
+    assert_eq!(answer(&mut follower, "voss", true), offered);
+
+    // A source that never confirms is left, and the next one gets as many answers.
+    let mut follower = VersionFollower::new(Duration::ZERO);
+    let asks =
+        |follower: &mut VersionFollower,
+         domain: &str,
+         answer: &mut dyn FnMut(&mut VersionFollower, &str, bool) -> FollowStep| {
+            let mut asks = 1;
+            while answer(follower, domain, false) == FollowStep::Ask {
+                asks += 1;
+                assert!(asks < 10, "{domain} is never left");
+            }
+            asks
+        };
+    let first = asks(&mut follower, "voss", &mut answer);
+    assert_eq!(asks(&mut follower, "sogn", &mut answer), first);
+}
+
 // Guards against nodes that serve no caller because all voting instances are
 // down when they restart. After the timeout the highest version of two failure
 // domains is accepted.
