A starting node stays with a control instance that is about to confirm

Cause: a starting node takes a version only if the source proves that it is current, which a control instance without the lead can do with the leader's next answer, within 50 ms. But it answers at once where the directories differ, as they do while servers come and go, with its version unconfirmed; the node then left for the next instance, which answered in the same way.

What a starting node may take has not changed.

--- a/crates/core/src/version_follower.rs
+++ b/crates/core/src/version_follower.rs
@@ -39,6 +39,11 @@
 /// accepted: a single domain may be on the wrong side of a partition.
 pub const START_DOMAINS_MIN: usize = 2;
 
+/// Unconfirmed answers in a row after which a starting follower leaves a source that is
+/// in touch with the leader: two about the directory, one that waited in vain for the
+/// leader's next answer, and one that was lost.
+const UNCONFIRMED_MAX: u32 = 4;
+
 /// What the caller of the state machine must do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FollowStep {
@@ -99,6 +104,8 @@
     needs_snapshot: bool,
     fetch: Option<SnapshotFetch>,
     candidates: StartCandidates,
+    /// Source of the last unconfirmed answer, and how many it gave in a row.
+    unconfirmed: Option<(Arc<str>, u32)>,
     counts: FollowCounts,
 }
 
@@ -113,6 +120,7 @@
             needs_snapshot: false,
             fetch: None,
             candidates: StartCandidates::default(),
+            unconfirmed: None,
             counts: FollowCounts::default(),
         }
     }
@@ -336,12 +344,27 @@
         // what this node is known to have applied.
         if early || few_domains || self.candidates.best.version < self.candidates.floor {
             self.counts.unconfirmed += 1;
-            return FollowStep::AskElsewhere;
+            return self.ask_after_unconfirmed(source);
         }
         let snapshot = self.candidates.best.clone();
         self.offer(snapshot)
     }
 
+    /// Asks a source that is in touch with the leader again: it answers at once with
+    /// directory records, and confirms its version with the leader's next answer.
+    fn ask_after_unconfirmed(&mut self, source: &SourceProof) -> FollowStep {
+        let previous = self.unconfirmed.take();
+        let answers = match previous {
+            Some((instance, answers)) if instance == source.instance => answers + 1,
+            _ => 1,
+        };
+        if source.fresh_ms == 0 || answers >= UNCONFIRMED_MAX {
+            return FollowStep::AskElsewhere;
+        }
+        self.unconfirmed = Some((Arc::clone(&source.instance), answers));
+        FollowStep::Ask
+    }
+
     fn offer(&mut self, snapshot: ConfigSnapshot) -> FollowStep {
         if self.refused == Some(snapshot.version) {
             return FollowStep::Ask;
