The soak's last seconds end when its callers stop

The window is the last three seconds in which callers send, as the check says. Its share and length are unchanged.

--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -152,13 +152,13 @@
     let exit_watch = actix_rt::spawn(watch_exits(Rc::clone(&run), Rc::clone(&finished)));
     run.inject_faults(faults).await?;
     finished.set(true);
+    let end = run.started.elapsed();
     for caller in callers {
         // A caller ends after its last request.
         let _ = caller.await;
     }
     let _ = operator_task.await;
     let _ = exit_watch.await;
-    let end = run.started.elapsed();
     let routes = operator::read_routes(&operator).await.unwrap_or_default();
     run.observations.borrow_mut().final_routes = routes;
     let voters = operator::live_voters(&operator).await.unwrap_or_default();
