The soak's listeners use ports that no other socket is given

A free port was learnt by binding port 0, and the kernel gives such ports to all sockets, wildcard ones of other programs as well; with more proxies and processes more time and ports lie between the question and the bind. Ports now come from a counter below the ephemeral range, and each is tried before it is returned.

Test: no_address_is_given_to_two_runs, as before.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::fs;
 use std::fs::OpenOptions;
+use std::io;
 use std::io::Write;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -13,8 +13,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use crate::backend::RecordingServer;
@@ -50,8 +50,13 @@
 /// Beginning of a log record, as a crash during a write leaves it.
 const TORN_RECORD: [u8; 11] = [40, 1, 0, 0, 7, 7, 7, 7, 1, 2, 3];
 
-/// Addresses that [`unused_address`] has returned in this process.
-static RETURNED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+/// Ports of listeners: registered ones, below the kernel's ephemeral ports. Their
+/// number divides that of the values of a counter.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 16_384;
+
+/// Position of the next port to try.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// Listen addresses of a node.
 #[derive(Clone, Copy, Debug)]
@@ -91,18 +96,20 @@
 }
 
 /// Returns a free address on a loopback IP derived from the process ID, which
-/// other processes do not use, so that no outgoing connection can take the port
-/// before its owner binds it. `number` is the last octet. No address is returned
-/// twice, since several runs of one process share the IPs.
+/// other processes do not use. `number` is the last octet. The port lies below those
+/// that the kernel gives to other sockets, so that none takes it before its owner
+/// binds it, and is not returned again soon, since several runs of one process share
+/// the IPs.
 pub fn unused_address(number: usize) -> Result<SocketAddr, SoakError> {
     let pid = std::process::id().to_be_bytes();
     let host = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], number as u8));
     loop {
-        let bound = TcpListener::bind(SocketAddr::new(host, 0))?;
-        let address = bound.local_addr()?;
-        let mut returned = RETURNED.lock().unwrap_or_else(PoisonError::into_inner);
-        if returned.insert(address) {
-            return Ok(address);
+        let position = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::new(host, FIRST_PORT + position);
+        match TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error.into()),
         }
     }
 }
