--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod evacuation_api;
 pub mod fanout_task;
 pub mod folder_opener;
+pub mod leader_forward;
 pub mod leader_view;
 pub mod member_store;
 pub mod membership_log;
--- a/crates/control/src/quarantine_task.rs
+++ b/crates/control/src/quarantine_task.rs
@@ -26,6 +26,7 @@
 
 use crate::agreement_task::AgreementHandle;
 use crate::agreement_task::AgreementMessage;
+use crate::leader_forward;
 
 /// Capacity of the task's queue. While it is full, senders wait.
 const QUEUE_CAPACITY: usize = 1_024;
@@ -33,9 +34,6 @@
 /// Interval at which the leader looks for quarantines to end.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Timeout for forwarding a report to the leader; nodes send it again.
-const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Timeout of a proposal; after it, the change may be proposed again.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -93,15 +91,7 @@
         let Some(address) = view.address else {
             return;
         };
-        let client = self.client.clone();
-        actix_rt::spawn(async move {
-            if let Err(error) = client.send(address, &call, FORWARD_TIMEOUT).await {
-                warn!(
-                    "event=crashes-failed process=control leader={address} error={}",
-                    LogValue(error)
-                );
-            }
-        });
+        leader_forward::spawn(self.client.clone(), address, call, "crashes-failed");
     }
 
     /// Proposes the changes that are due, if this instance leads.
--- a/crates/control/src/rollout_task.rs
+++ b/crates/control/src/rollout_task.rs
@@ -41,6 +41,7 @@
 use crate::agreement_task::AgreementHandle;
 use crate::agreement_task::AgreementMessage;
 use crate::fanout_task::FanoutMessage;
+use crate::leader_forward;
 
 /// Capacity of the task's queue. While it is full, senders wait. A report that
 /// is lost needs no resending: counts are cumulative, so the node's next report
@@ -51,10 +52,6 @@
 /// 290 nodes of a relay cause only ten messages a second.
 const FORWARD_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Timeout for forwarding counts to the leader; after it, the nodes' next
-/// reports are forwarded instead.
-const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Timeout of a proposal; after it, the change may be proposed again.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -203,15 +200,7 @@
             .into_values()
             .collect();
         let call = EvidenceCall { reports };
-        let client = self.client.clone();
-        actix_rt::spawn(async move {
-            if let Err(error) = client.send(address, &call, FORWARD_TIMEOUT).await {
-                warn!(
-                    "event=evidence-failed process=control leader={address} error={}",
-                    LogValue(error)
-                );
-            }
-        });
+        leader_forward::spawn(self.client.clone(), address, call, "evidence-failed");
     }
 
     async fn evaluate_moves(&mut self) {
