Drop state that follows from other state

Read again: RetryBudget kept beside saved_max whether that is below one; a node kept beside the version in force whether it has any. Both are derived where they are asked for. The sum in the head of retry_budget says what it divides by, and the bound on unconfirmed answers no longer counts an answer that was lost.

No behaviour changes; the tests are as before but for the field that is gone.

--- a/crates/core/src/load/retry_budget.rs
+++ b/crates/core/src/load/retry_budget.rs
@@ -12,7 +12,8 @@
 //! saved, and a process starts with none, so that restarts add nothing:
 //!
 //! ```text
-//! saved before (burst / 2 nodes) + earned over time (burst / 2 nodes), for each node
+//! for each node: saved before, at most burst / (2 * nodes)
+//!                + earned over time, burst / (2 * nodes)
 //! ```
 //!
 //! The bound needs each node to count at least as many nodes as there are. It counts
@@ -99,8 +100,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     saved: Option<f64>,
-    /// Whether this node can never save up a whole retry.
-    fractional: bool,
     saved_max: f64,
     at: Duration,
 }
@@ -110,7 +109,6 @@
     pub fn earn(&mut self, now: Duration, config: BudgetConfig) {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        self.fractional = config.saved_max < 1.0;
         self.saved_max = config.saved_max;
         let saved = self.saved.unwrap_or(config.initial);
         let earned = config.per_try + passed * config.per_second;
@@ -144,7 +142,8 @@
             self.saved = Some(saved - 1.0);
             return true;
         }
-        if saved <= 0.0 || !self.fractional {
+        let is_fractional = self.saved_max < 1.0;
+        if saved <= 0.0 || !is_fractional {
             return false;
         }
         self.saved = Some(0.0);
--- a/crates/core/src/version_follower.rs
+++ b/crates/core/src/version_follower.rs
@@ -40,8 +40,8 @@
 pub const START_DOMAINS_MIN: usize = 2;
 
 /// Unconfirmed answers in a row after which a starting follower leaves a source that is
-/// in touch with the leader: two about the directory, one that waited in vain for the
-/// leader's next answer, and one that was lost.
+/// in touch with the leader: two about the directory, and two that waited in vain for
+/// the leader's next answer.
 const UNCONFIRMED_MAX: u32 = 4;
 
 /// What the caller of the state machine must do next.
--- a/crates/node/src/install_hooks.rs
+++ b/crates/node/src/install_hooks.rs
@@ -15,9 +15,7 @@
 
 /// Hooks that run when a configuration is installed.
 pub struct InstallHooks {
-    /// Set once the first configuration is in force.
-    pub configured: Rc<Cell<bool>>,
-    /// Version of the configuration in force, for log lines.
+    /// Version of the configuration in force; zero before the first one.
     pub version: Rc<Cell<ConfigVersion>>,
     /// Requests that are not sent to backend servers.
     pub quarantines: QuarantineList,
@@ -37,8 +35,8 @@
         document: &FleetDocument,
         evacuated: bool,
     ) {
-        self.version.set(version);
-        if !self.configured.replace(true) && !evacuated {
+        let is_first = self.version.replace(version) == ConfigVersion::ZERO;
+        if is_first && !evacuated {
             self.server.request_check(document);
         }
         self.quarantines.install(&document.quarantines);
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -161,7 +161,7 @@
 /// Status of a node, as its readiness page shows it.
 #[derive(Clone)]
 pub struct NodeStatus {
-    configured: Rc<Cell<bool>>,
+    version: Rc<Cell<ConfigVersion>>,
     stage: Rc<Cell<NodeStage>>,
 }
 
@@ -169,7 +169,8 @@
     /// Returns true if callers may send calls: the node has a configuration and
     /// is not leaving.
     pub fn is_ready(&self) -> bool {
-        self.configured.get() && self.stage.get() == NodeStage::Serving
+        let configured = self.version.get() > ConfigVersion::ZERO;
+        configured && self.stage.get() == NodeStage::Serving
     }
 }
 
@@ -222,12 +223,12 @@
             address: settings.server,
             checks,
         };
+        let version = Rc::new(Cell::new(ConfigVersion::ZERO));
         let status = NodeStatus {
-            configured: Rc::new(Cell::new(false)),
+            version: Rc::clone(&version),
             stage: Rc::new(Cell::new(NodeStage::Serving)),
         };
         let quarantines = QuarantineList::default();
-        let version = Rc::new(Cell::new(ConfigVersion::ZERO));
         let (listener_timeouts, timeouts_watch) =
             watch::channel(ListenerTimeouts::default());
         let entry = entry_task::spawn(
@@ -235,7 +236,6 @@
             failure_domain,
             gate.clone(),
             InstallHooks {
-                configured: Rc::clone(&status.configured),
                 version: Rc::clone(&version),
                 quarantines: quarantines.clone(),
                 server,
--- a/crates/node/tests/start_calls.rs
+++ b/crates/node/tests/start_calls.rs
@@ -40,7 +40,6 @@
     let (gate, _) = mpsc::unbounded_channel();
     let (checks, _) = mpsc::unbounded_channel();
     let hooks = InstallHooks {
-        configured: Rc::new(Cell::new(false)),
         version: Rc::new(Cell::new(ConfigVersion::ZERO)),
         quarantines: QuarantineList::default(),
         server: ConfiguredServer {
