The soak and the member tests say each thing once

Callers saw nothing: only the soak and tests change, and no check, bound or literal expectation is another one.

Cause: the cuts of links and the checks of overdue changes were added beside pieces that did nearly the same.

Change: - `operator_client` makes the operator's client for its three uses; the access key in `OperatorContext` was a copy of the constant and is gone. - `FleetLinks` holds the cuts and the process table and makes the links of a proxy (`to`); a closure and a method of `SoakFleet` made the same struct. - `LinkCuts` forgets a link that is no longer cut, so `is_active` and `is_cut` ask whether it is there.

--- a/crates/cli/tests/commands/cmd_member.rs
+++ b/crates/cli/tests/commands/cmd_member.rs
@@ -10,7 +10,7 @@
 /// members it knows several times in this time.
 const RETURN_TIME: Duration = Duration::from_secs(3);
 
-/// Pause before a removal that was refused is ordered again.
+/// Pause before an order that was refused is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Timeout of becoming a voter again; only a broken fleet reaches it.
@@ -53,7 +53,8 @@
         let members = fixture.json(&["member", "list"]);
         assert_eq!(members.as_array().map(Vec::len), Some(2), "{members}");
     }
-    let added = add_until_accepted(&fixture, name, address);
+    let order = ["member", "add", name, address];
+    let added = order_until_heard(&fixture, &order, "has not been heard of");
     assert!(added.is_ok(), "{added:?}");
     let deadline = Instant::now() + VOTER_TIMEOUT;
     while !is_voter(&fixture, name) {
@@ -64,36 +65,30 @@
 /// Removes a member once the leader has heard from the other one within the last
 /// second, which it may not have on a busy machine; any other refusal fails.
 fn remove_while_others_live(fixture: &FleetFixture, name: &str) {
-    let deadline = Instant::now() + VOTER_TIMEOUT;
-    loop {
-        let output = fixture.run(&["member", "remove", name]);
-        if output.status.success() {
-            return;
-        }
-        let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
-        let silent = stderr.contains("a majority of the voters would be live");
-        assert!(silent && Instant::now() < deadline, "{stderr}");
-        thread::sleep(RETRY_DELAY);
-    }
+    let silent = "a majority of the voters would be live";
+    let removed = order_until_heard(fixture, &["member", "remove", name], silent);
+    assert!(removed.is_ok(), "{removed:?}");
 }
 
-/// Repeats `member add` while the only refusal is that the leader has not heard
-/// from the instance. Returns any other refusal.
-fn add_until_accepted(
+/// Repeats an order about a member while the only refusal contains `silent`, with
+/// which the leader says that it has not heard from an instance. Returns any other
+/// refusal.
+fn order_until_heard(
     fixture: &FleetFixture,
-    name: &str,
-    address: &str,
+    order: &[&str],
+    silent: &str,
 ) -> Result<(), String> {
     let deadline = Instant::now() + VOTER_TIMEOUT;
     loop {
-        let output = fixture.run(&["member", "add", name, address]);
+        let output = fixture.run(order);
         if output.status.success() {
             return Ok(());
         }
         let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
-        if !stderr.contains("has not been heard of") || Instant::now() > deadline {
+        if !stderr.contains(silent) || Instant::now() > deadline {
             return Err(stderr);
         }
+        thread::sleep(RETRY_DELAY);
     }
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -23,15 +23,13 @@
 use crate::fault_plan::CONTROLS;
 use crate::fault_plan::NODES;
 use crate::link_cuts::DirectedLink;
-use crate::link_cuts::LinkCuts;
 use crate::observations::Observations;
 use crate::process::program_path;
 use crate::process::FleetProcess;
 use crate::process::LaunchConfig;
+use crate::proxy::FleetLinks;
 use crate::proxy::LinkProxy;
-use crate::proxy::ProcessLinks;
 use crate::soak_error::SoakError;
-use crate::socket_owner::ProcessTable;
 
 /// Access key of the operator.
 pub const OPERATOR_KEY: &str = "soak-operator";
@@ -69,9 +67,8 @@
 pub struct SoakFleet {
     /// Listen addresses of the current control instances.
     pub controls: Rc<RefCell<Vec<SocketAddr>>>,
-    /// Links between processes that are cut now.
-    pub cuts: Rc<LinkCuts>,
-    processes: Rc<ProcessTable>,
+    /// Links between the processes.
+    pub links: FleetLinks,
     /// Addresses under which control instances know each other, which lead through
     /// proxies.
     members: RefCell<Vec<SocketAddr>>,
@@ -123,15 +120,7 @@
         observations: &Rc<RefCell<Observations>>,
     ) -> Result<Self, SoakError> {
         let controls = unused_addresses(1, CONTROLS);
-        let cuts = Rc::new(LinkCuts::default());
-        let processes = Rc::new(ProcessTable::default());
-        let links = |target| {
-            Some(ProcessLinks {
-                target,
-                cuts: Rc::clone(&cuts),
-                processes: Rc::clone(&processes),
-            })
-        };
+        let links = FleetLinks::default();
         let mut control_proxies = Vec::new();
         let mut control_targets = Vec::new();
         let mut member_proxies = Vec::new();
@@ -142,21 +131,20 @@
             control_proxies.push(LinkProxy::bind(
                 from_nodes,
                 Rc::clone(&target),
-                links(id),
+                Some(links.to(id)),
             )?);
             control_targets.push(target);
             let target = Rc::new(Cell::new(*address));
             member_proxies.push(LinkProxy::bind(
                 unused_address(4 + at),
                 target,
-                links(id),
+                Some(links.to(id)),
             )?);
         }
         let members = member_proxies.iter().map(LinkProxy::address).collect();
         let mut fleet = Self {
             controls: Rc::new(RefCell::new(controls)),
-            cuts,
-            processes,
+            links,
             members: RefCell::new(members),
             member_proxies: RefCell::new(member_proxies),
             peer_proxies: Vec::new(),
@@ -255,21 +243,13 @@
         self.controls.borrow_mut()[at] = listen;
         self.control_targets[at].set(listen);
         let address = unused_address(FIRST_SUCCESSOR + number % SUCCESSORS_MAX);
-        let links = self.links(ProcessId::Control(at));
+        let links = self.links.to(ProcessId::Control(at));
         let proxy = LinkProxy::bind(address, Rc::new(Cell::new(listen)), Some(links))?;
         self.members.borrow_mut()[at] = proxy.address();
         self.member_proxies.borrow_mut().push(proxy);
         self.empty_folder(at)
     }
 
-    fn links(&self, target: ProcessId) -> ProcessLinks {
-        ProcessLinks {
-            target,
-            cuts: Rc::clone(&self.cuts),
-            processes: Rc::clone(&self.processes),
-        }
-    }
-
     /// Returns the links that a cut loses packets on. `leader` is the index of the
     /// leading control instance.
     pub fn cut_links(
@@ -325,7 +305,7 @@
         };
         self.nodes.push(addresses);
         let peer_listen = unused_address(70 + at);
-        let links = self.links(ProcessId::Node(at));
+        let links = self.links.to(ProcessId::Node(at));
         let target = Rc::new(Cell::new(peer_listen));
         let peer_proxy = LinkProxy::bind(unused_address(60 + at), target, Some(links))?;
         let peer_address = peer_proxy.address();
@@ -361,7 +341,7 @@
             settings: file,
             log: self.folder.join(format!("{instance}.log")),
         })?;
-        self.processes.add(id, process.pid());
+        self.links.processes.add(id, process.pid());
         Ok(process)
     }
 
--- a/soak/src/link_cuts.rs
+++ b/soak/src/link_cuts.rs
@@ -22,7 +22,7 @@
 
 /// Links that are cut now.
 pub struct LinkCuts {
-    /// Number of faults that cut each link.
+    /// Number of faults that cut each link, above zero.
     cuts: RefCell<BTreeMap<DirectedLink, u32>>,
     changes: watch::Sender<()>,
 }
@@ -49,23 +49,25 @@
     pub fn heal(&self, links: &[DirectedLink]) {
         for link in links {
             let mut cuts = self.cuts.borrow_mut();
-            let count = cuts.entry(*link).or_default();
-            *count = count.saturating_sub(1);
+            let Some(count) = cuts.get_mut(link) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                cuts.remove(link);
+            }
         }
         self.changes.send_replace(());
     }
 
     /// Returns whether any link is cut now.
     pub fn is_active(&self) -> bool {
-        self.cuts.borrow().values().any(|count| *count > 0)
+        !self.cuts.borrow().is_empty()
     }
 
     /// Returns whether data on the link is lost now.
     pub fn is_cut(&self, link: DirectedLink) -> bool {
-        self.cuts
-            .borrow()
-            .get(&link)
-            .is_some_and(|count| *count > 0)
+        self.cuts.borrow().contains_key(&link)
     }
 
     /// Waits until data sent now on the link arrives: at once, or with the first
@@ -75,12 +77,8 @@
         let mut interval = RETRANSMISSION_MIN;
         let mut next = RETRANSMISSION_MIN;
         while self.is_cut(link) {
-            let mut changes = self.changes.subscribe();
-            if !self.is_cut(link) {
-                break;
-            }
             // The sender lives as long as this value.
-            let _ = changes.changed().await;
+            let _ = self.changes.subscribe().changed().await;
             while next < sent.elapsed() {
                 interval *= 2;
                 next += interval;
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -146,6 +146,13 @@
     pub until: Duration,
 }
 
+impl FaultSpan {
+    /// Returns true if the fault may keep changes from this node.
+    pub fn affects(&self, node: usize) -> bool {
+        self.node.is_none_or(|index| index == node)
+    }
+}
+
 /// A planned stop of a node.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedStop {
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -46,8 +46,6 @@
 pub struct OperatorContext {
     /// Addresses of the current control instances, reached without a proxy.
     pub controls: Rc<RefCell<Vec<SocketAddr>>>,
-    /// Access key of the operator.
-    pub key: AccessKey,
     /// Highest route number in an accepted document.
     pub routes: Rc<Cell<u64>>,
     /// Fleet default for the slots that a call is offered before it waits.
@@ -60,18 +58,12 @@
     pub observations: Rc<RefCell<Observations>>,
 }
 
-impl OperatorContext {
-    fn client(&self) -> ControlClient {
-        ControlClient::new(self.controls.borrow().clone(), self.key.clone())
-    }
-}
-
 /// Adds routes until the run is finished. A change that failed or whose answer
 /// was lost is contained in the next one, as each change sends the whole
 /// document.
 pub async fn run_operator(context: Rc<OperatorContext>) {
     while !context.finished.get() {
-        let client = context.client();
+        let client = operator_client(&context.controls);
         let route = context.routes.get() + 1;
         let change = ConfigChange::Apply(document(route, context.slot_probes));
         if client.change(new_request_id(), None, change).await.is_ok() {
@@ -92,8 +84,7 @@
 ) -> bool {
     let request_id = new_request_id();
     loop {
-        let addresses = controls.borrow().clone();
-        let client = ControlClient::new(addresses, AccessKey::new(OPERATOR_KEY));
+        let client = operator_client(controls);
         let change = ConfigChange::Evacuate(order.clone());
         match client.change(request_id.clone(), None, change).await {
             Ok(_) => return true,
@@ -105,7 +96,8 @@
 
 /// Returns the numbers of the routes in force, or `None` if no instance answers.
 pub async fn read_routes(context: &OperatorContext) -> Option<Vec<u64>> {
-    let snapshot = context.client().ask(&ShowCall {}).await.ok()?;
+    let client = operator_client(&context.controls);
+    let snapshot = client.ask(&ShowCall {}).await.ok()?;
     let mut routes = Vec::new();
     for route in &snapshot.document.routes {
         let number = route.path.strip_prefix("/route-");
@@ -116,20 +108,23 @@
 
 /// Returns the number of live voters, or `None` if no instance answers.
 pub async fn live_voters(context: &OperatorContext) -> Option<usize> {
-    let members = context.client().ask(&MembersCall {}).await.ok()?;
+    let client = operator_client(&context.controls);
+    let members = client.ask(&MembersCall {}).await.ok()?;
     let votes = |member: &&MemberLine| member.live && member.role == MemberRole::Voter;
     Some(members.iter().filter(votes).count())
 }
 
 /// Returns the name of the leader, or `None` if no instance answers.
 pub async fn leader(controls: &RefCell<Vec<SocketAddr>>) -> Option<Arc<str>> {
-    let addresses = controls.borrow().clone();
-    let client = ControlClient::new(addresses, AccessKey::new(OPERATOR_KEY));
-    let members = client.ask(&MembersCall {}).await.ok()?;
+    let members = operator_client(controls).ask(&MembersCall {}).await.ok()?;
     let mut leaders = members.into_iter().filter(|member| member.leads);
     leaders.next().map(|leader| leader.instance)
 }
 
+fn operator_client(controls: &RefCell<Vec<SocketAddr>>) -> ControlClient {
+    ControlClient::new(controls.borrow().clone(), AccessKey::new(OPERATOR_KEY))
+}
+
 /// Returns a document with the work path and routes 1 to `last`.
 pub fn document(last: u64, slot_probes: u64) -> FleetDocument {
     let spec = ServiceSpec {
--- a/soak/src/propagation_checks.rs
+++ b/soak/src/propagation_checks.rs
@@ -60,14 +60,11 @@
 /// route, counted from the acceptance and from the end of the last fault.
 pub fn longest_delay(observations: &Observations) -> Duration {
     let mut longest = Duration::ZERO;
-    for call in observations
-        .calls
-        .iter()
-        .filter(|call| is_unknown_route(call))
-    {
-        let mut accepted = observations.accepted.iter();
-        let accepted = accepted.find(|accepted| Some(accepted.route) == call.probe);
-        let Some(accepted) = accepted else {
+    for call in &observations.calls {
+        if !is_unknown_route(call) {
+            continue;
+        }
+        let Some(accepted) = accepted_route(observations, call) else {
             continue;
         };
         let since = calm_since(observations, call).max(accepted.at);
@@ -80,10 +77,9 @@
 /// sent if one was in progress.
 fn calm_since(observations: &Observations, call: &SentCall) -> Duration {
     let fault_spans = observations.fault_spans.iter();
-    let affecting = fault_spans.filter(|span| {
-        span.node.is_none_or(|node| node == call.node) && span.from <= call.sent
-    });
-    let ends = affecting.map(|span| span.until.min(call.sent));
+    let before =
+        fault_spans.filter(|span| span.affects(call.node) && span.from <= call.sent);
+    let ends = before.map(|span| span.until.min(call.sent));
     ends.max().unwrap_or_default()
 }
 
@@ -97,18 +93,24 @@
     observations: &Observations,
 ) -> impl Iterator<Item = (&SentCall, AcceptedRoute)> {
     observations.calls.iter().filter_map(|call| {
-        let mut accepted = observations.accepted.iter();
-        let accepted = accepted.find(|accepted| Some(accepted.route) == call.probe)?;
-        (call.sent >= accepted.at + PROPAGATION_MAX).then_some((call, *accepted))
+        let accepted = accepted_route(observations, call)?;
+        (call.sent >= accepted.at + PROPAGATION_MAX).then_some((call, accepted))
     })
 }
 
+/// Returns the operator's route that the request was for, if it was accepted.
+fn accepted_route(observations: &Observations, call: &SentCall) -> Option<AcceptedRoute> {
+    let mut accepted = observations.accepted.iter();
+    accepted
+        .find(|accepted| Some(accepted.route) == call.probe)
+        .copied()
+}
+
 /// Returns true if nothing affected the control instances or the request's node from
 /// [`CALM_TIME`] before the request was sent until it ended.
 fn is_judged(observations: &Observations, call: &SentCall) -> bool {
     observations.fault_spans.iter().all(|span| {
-        let elsewhere = span.node.is_some_and(|node| node != call.node);
         let over = call.sent >= span.until + CALM_TIME;
-        elsewhere || over || call.ended < span.from
+        !span.affects(call.node) || over || call.ended < span.from
     })
 }
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -29,17 +29,31 @@
 /// the programs give up on those after this time.
 const OPENING_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The links that lead through a proxy to one process of the fleet.
-#[derive(Clone)]
-pub struct ProcessLinks {
-    /// The process behind the proxy.
-    pub target: ProcessId,
+/// The links between the processes of the fleet.
+#[derive(Clone, Default)]
+pub struct FleetLinks {
     /// Links that are cut now.
     pub cuts: Rc<LinkCuts>,
     /// Processes that may open connections.
     pub processes: Rc<ProcessTable>,
 }
 
+impl FleetLinks {
+    /// Returns the links that lead to one process.
+    pub fn to(&self, target: ProcessId) -> ProcessLinks {
+        let fleet = self.clone();
+        ProcessLinks { target, fleet }
+    }
+}
+
+/// The links that lead through a proxy to one process of the fleet.
+#[derive(Clone)]
+pub struct ProcessLinks {
+    /// The process behind the proxy.
+    target: ProcessId,
+    fleet: FleetLinks,
+}
+
 /// A running proxy of one link.
 pub struct LinkProxy {
     address: SocketAddr,
@@ -124,10 +138,11 @@
     /// Returns the link in one direction; `None` if no link is cut, or the process
     /// that opened the connection is not of the fleet.
     fn link(&self, outbound: bool) -> Option<DirectedLink> {
-        if !self.links.cuts.is_active() {
+        let fleet = &self.links.fleet;
+        if !fleet.cuts.is_active() {
             return None;
         }
-        let find = || self.links.processes.opener(self.client, self.listen);
+        let find = || fleet.processes.opener(self.client, self.listen);
         let opener = (*self.opener.get_or_init(find))?;
         let target = self.links.target;
         Some(if outbound {
@@ -139,7 +154,7 @@
 
     fn is_cut(&self) -> bool {
         let mut links = [true, false].into_iter().filter_map(|way| self.link(way));
-        links.any(|link| self.links.cuts.is_cut(link))
+        links.any(|link| self.links.fleet.cuts.is_cut(link))
     }
 }
 
@@ -204,7 +219,7 @@
             return;
         };
         if let Some(link) = route.link(outbound) {
-            route.links.cuts.transmit(link).await;
+            route.links.fleet.cuts.transmit(link).await;
         }
     }
 }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -13,7 +13,6 @@
 use nix::sys::signal::Signal;
 
 use cowslip_core::change::EvacuationChange;
-use cowslip_wire::access_key::AccessKey;
 
 use crate::callers;
 use crate::callers::CallerContext;
@@ -30,7 +29,6 @@
 use crate::fleet::failure_domain;
 use crate::fleet::instance_name;
 use crate::fleet::SoakFleet;
-use crate::fleet::OPERATOR_KEY;
 use crate::invariants;
 use crate::invariants::InvariantViolation;
 use crate::invariants::RECOVERY_WINDOW;
@@ -212,7 +210,6 @@
         Rc::new(OperatorContext {
             slot_probes: seed % 2 * SLOT_PROBES,
             controls: Rc::clone(&self.fleet.controls),
-            key: AccessKey::new(OPERATOR_KEY),
             routes: Rc::new(Cell::new(0)),
             finished: Rc::clone(finished),
             started: self.started,
@@ -413,9 +410,9 @@
             .fleet
             .cut_links(scope, direction, leader.unwrap_or_default());
         info!("event=cut scope=\"{scope:?}\" leader={leader:?}");
-        self.fleet.cuts.cut(&links);
+        self.fleet.links.cuts.cut(&links);
         actix_rt::time::sleep(time).await;
-        self.fleet.cuts.heal(&links);
+        self.fleet.links.cuts.heal(&links);
     }
 
     /// Evacuates a failure domain for `time`, unless it is evacuated already.
--- a/soak/tests/link_cuts.rs
+++ b/soak/tests/link_cuts.rs
@@ -13,9 +13,8 @@
 
 use cowslip_soak::fault_plan::ProcessId;
 use cowslip_soak::link_cuts::LinkCuts;
+use cowslip_soak::proxy::FleetLinks;
 use cowslip_soak::proxy::LinkProxy;
-use cowslip_soak::proxy::ProcessLinks;
-use cowslip_soak::socket_owner::ProcessTable;
 
 const OPENER: ProcessId = ProcessId::Control(0);
 const TARGET: ProcessId = ProcessId::Control(1);
@@ -34,14 +33,13 @@
             });
         }
     });
-    let processes = Rc::new(ProcessTable::default());
-    processes.add(OPENER, Rc::new(Cell::new(std::process::id())));
-    let links = ProcessLinks {
-        target: TARGET,
+    let links = FleetLinks {
         cuts: Rc::clone(cuts),
-        processes,
+        ..FleetLinks::default()
     };
-    LinkProxy::bind(any, target, Some(links)).unwrap()
+    let pid = Rc::new(Cell::new(std::process::id()));
+    links.processes.add(OPENER, pid);
+    LinkProxy::bind(any, target, Some(links.to(TARGET))).unwrap()
 }
 
 async fn echo(stream: &mut TcpStream) -> std::io::Result<Duration> {
