--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -38,12 +38,20 @@
 use cowslip_wire::messages::WireCall;
 use cowslip_wire::peer_client::PeerClient;
 
+use crate::condition_wait::wait_until;
+
+#[path = "../../wire/tests/support/condition_wait.rs"]
+mod condition_wait;
+
 const KEY: &str = "a-key-of-the-fleet-of-this-test";
 
 /// Time after which a published version must be in force: a poll of the node, and as
 /// long again for a busy machine.
 const APPLY_TIME_MAX: Duration = Duration::from_millis(800);
 
+/// Time after which a condition counts as never met.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
 /// A control instance that answers polls and never answers reports.
 struct StalledReports {
     source: RefCell<UpdateSource>,
@@ -152,15 +160,6 @@
     }
 }
 
-async fn wait_until(condition: impl Fn() -> bool) -> Duration {
-    let started = Instant::now();
-    while !condition() {
-        assert!(started.elapsed() < Duration::from_secs(20), "never");
-        actix_rt::time::sleep(Duration::from_millis(5)).await;
-    }
-    started.elapsed()
-}
-
 // Guards against a change that waits at a node until a report of unlisted endpoints
 // has timed out.
 #[test]
@@ -195,13 +194,14 @@
             gate,
             metrics: FollowMetrics::new(&mut Registry::default()),
         });
-        wait_until(|| applied.get() == ConfigVersion::new(1, 1)).await;
+        wait_until(TIMEOUT, || applied.get() == ConfigVersion::new(1, 1)).await;
         // A new run of the instance lists another endpoint than the node remembers.
         instance.restart(2, 1, "records-2");
-        wait_until(|| instance.reports.get() > 0).await;
+        wait_until(TIMEOUT, || instance.reports.get() > 0).await;
         let now = instance.started.elapsed();
         instance.source.borrow_mut().publish(now, snapshot(2));
-        let took = wait_until(|| applied.get() == ConfigVersion::new(1, 2)).await;
+        let took =
+            wait_until(TIMEOUT, || applied.get() == ConfigVersion::new(1, 2)).await;
         assert!(took < APPLY_TIME_MAX, "in force after {took:?}");
     });
 }
