Calls that a stated limit keeps too long are found in one pass

Callers saw nothing: the same calls are refused, in the same order.

Cause: after each refusal the gate listed and sorted all waiting calls again and began to look at the first one, on a path that every offered call of a limited server takes.

Change: `StatedLimit::untimely_calls` returns all of them at once. A refusal does not change how long the calls before it wait, and those behind it move up by one, as they did before; the last call left is still never refused. Two doc comments: one line of `leader_hint` that described an earlier meaning is gone, one is wrapped.

No figure of the time saved was taken.

--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -114,7 +114,6 @@
     pub(super) leader: Option<LeaderContact>,
     /// Data folder of `leader`.
     pub(super) leader_folder: u64,
-    /// Leader named in a hello answer, and the time of that answer.
     /// Leader that another instance named, and when somebody last received a message
     /// from it.
     pub(super) leader_hint: Option<(LeaderContact, Duration)>,
--- a/crates/core/src/load/stated_limit.rs
+++ b/crates/core/src/load/stated_limit.rs
@@ -89,23 +89,25 @@
         Duration::from_secs_f64(lacking / rate)
     }
 
-    /// Returns the first of several calls that cannot be sent before it expires, if
-    /// they are sent in the order of `expiries`. A single call always may wait: only
-    /// the answer to a call says that a limit has ended.
-    pub fn untimely_call(
+    /// Returns the calls that cannot be sent before they expire, if the others are
+    /// sent in the order of `expiries`. A single call always may wait: only the answer
+    /// to a call says that a limit has ended.
+    pub fn untimely_calls(
         &self,
         now: Duration,
         expiries: &[(Duration, CallTicket)],
-    ) -> Option<CallTicket> {
-        if expiries.len() < 2 {
-            return None;
-        }
-        for (ahead, (expiry, ticket)) in expiries.iter().enumerate() {
+    ) -> Vec<CallTicket> {
+        let mut untimely = Vec::new();
+        for (at, (expiry, ticket)) in expiries.iter().enumerate() {
+            if untimely.len() + 1 == expiries.len() {
+                break;
+            }
+            let ahead = at - untimely.len();
             if now + self.wait(now, ahead) >= *expiry {
-                return Some(*ticket);
+                untimely.push(*ticket);
             }
         }
-        None
+        untimely
     }
 
     /// Reserves a token for a call that may be sent from now on.
--- a/crates/core/src/rollout/sequential_test.rs
+++ b/crates/core/src/rollout/sequential_test.rs
@@ -73,9 +73,9 @@
 
 /// A sequential test, which updates its evidence with each look at the counts.
 pub trait SequentialTest: fmt::Debug {
-    /// Adds the counts since the last update. Returns the natural logarithm of the evidence that the
-    /// new version is bad; a limit of `ln(1/a)` bounds the false alarm
-    /// probability by `a`.
+    /// Adds the counts since the last update. Returns the natural logarithm of the
+    /// evidence that the new version is bad; a limit of `ln(1/a)` bounds the false
+    /// alarm probability by `a`.
     fn update(&mut self, sample: &TestSample) -> f64;
 }
 
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -675,7 +675,7 @@
         if limit.rate().is_none() {
             return;
         }
-        while let Some(ticket) = limit.untimely_call(now, &self.queue.expiries()) {
+        for ticket in limit.untimely_calls(now, &self.queue.expiries()) {
             self.queue.remove(ticket);
             actions.push(GateAction::Refuse(ticket, RefusalReason::QueueFull));
         }
