Known red: slow disks prevent elections

A simulated fleet shows the cause: a candidate gives up after 0.5 to 0.9 s, but its vote requests wait for its own sync, and each answer for the voter's. A new term then queues another sync.

--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -46,6 +46,8 @@
     seeds: Vec<usize>,
     /// The disk syncs nothing before this time.
     stalled_until: Duration,
+    /// Time that each sync of a slow disk takes; zero for an ordinary disk.
+    pub sync_time: Duration,
     /// Rate of its clock, in thousandths of real time.
     clock_rate: u32,
     started: Duration,
@@ -123,6 +125,7 @@
             removed: false,
             seeds,
             stalled_until: Duration::ZERO,
+            sync_time: Duration::ZERO,
             clock_rate: random.random_range(955..=1_045),
             started: Duration::ZERO,
         }
@@ -328,6 +331,7 @@
                 let last = self.instances[at].unsynced.last();
                 let due = last.map_or(due, |(before, _)| due.max(*before));
                 let due = due.max(self.instances[at].stalled_until);
+                let due = due.max(self.slow_sync_due(at));
                 self.instances[at].unsynced.push((due, batch));
             }
             ReplicaAction::Send(to, message) => {
@@ -350,6 +354,15 @@
         }
     }
 
+    /// When a slow disk has synced a write that is queued now: writes that
+    /// arrive during a sync share the next one.
+    fn slow_sync_due(&self, at: usize) -> Duration {
+        let instance = &self.instances[at];
+        let running = instance.unsynced.first();
+        let start = running.map_or(self.now, |(due, _)| self.now.max(*due));
+        start + instance.sync_time
+    }
+
     fn record_answer(&mut self, ticket: u64, answer: ChangeAnswer<ChangeOutcome>) {
         let request = self
             .tickets
--- a/crates/core/tests/agreement/main.rs
+++ b/crates/core/tests/agreement/main.rs
@@ -7,3 +7,4 @@
 mod replacements;
 mod restarts;
 mod schedules;
+mod slow_disks;
