Elections end on disks whose syncs outlast an election timeout

Operators saw "no leader is known" for as long as a disk was slow: with syncs of 0.7 s or more no fleet started or recovered, and 0.3 s was enough now and then.

Cause: a candidate's vote requests wait for its own sync, a voter's answer for the voter's. The candidate had given up after 0.5 to 0.9 s, so that votes came too late, and its next term added a sync to every disk.

Now no pre-vote is started while a term or vote is being synced, votes that arrive late still count while the next pre-vote runs (such a member does not call itself idle, so that nobody skips a lease because of it), a voter whose vote is being synced promises no other one, and election timeouts include the last sync measured, 2 s at most. On disks with syncs of a few milliseconds the times stay as they were.

--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -55,4 +55,5 @@
 mod replica_log;
 mod saved_state;
 mod state_replica;
+mod sync_timer;
 mod voter_plan;
--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -16,6 +16,7 @@
 use crate::agreement::timing::RESTART_ELECTION_TIMEOUT;
 use crate::agreement::timing::RESTART_POLL_JITTER_DIVISOR;
 use crate::agreement::timing::RESTART_POLL_SPREAD;
+use crate::agreement::timing::SYNC_ALLOWANCE_MAX;
 use crate::version::ConfigVersion;
 
 /// Answers of the voters to a pre-vote.
@@ -25,6 +26,8 @@
     granted: BTreeSet<Arc<str>>,
     /// Voters that can no longer lead this member's term or an earlier one.
     idle: BTreeSet<Arc<str>>,
+    /// Votes for this member in its current term, if it still accepts more.
+    votes: Option<BTreeSet<Arc<str>>>,
 }
 
 /// One voter's answer to a pre-vote.
@@ -57,11 +60,57 @@
         starting && now >= self.restart_poll_at && self.is_voter()
     }
 
+    /// Starts the pre-vote that is due, if any.
+    ///
+    /// While a term or vote is being synced none is started: the next term
+    /// would only add another sync.
+    pub(super) fn tick_election(&mut self, now: Duration) {
+        if !self.output.hard_synced() {
+            return;
+        }
+        if now >= self.election_at && self.is_voter() {
+            self.reset_election_timer(now);
+            let votes = self.take_votes();
+            self.ask_pre_votes(now, votes);
+        }
+        if self.is_restart_poll_due(now) {
+            self.restart_poll_at = now + RESTART_POLL_SPREAD;
+            self.ask_pre_votes(now, None);
+        }
+    }
+
+    /// The votes that a candidate has so far. Voters with slow disks answer
+    /// after several election timeouts, and their votes still count.
+    fn take_votes(&mut self) -> Option<BTreeSet<Arc<str>>> {
+        match &mut self.election_state {
+            ElectionState::Candidate(votes) => Some(std::mem::take(votes)),
+            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.take(),
+            ElectionState::Follower | ElectionState::Leader(_) => None,
+        }
+    }
+
+    /// Restarts the wait for a leader. It includes a sync, because a voter
+    /// answers only after one.
     pub(super) fn reset_election_timer(&mut self, now: Duration) {
         let spread = self
             .random
             .random_range(0..ELECTION_TIMEOUT_JITTER.as_millis() as u64);
-        self.election_at = now + ELECTION_TIMEOUT_MIN + Duration::from_millis(spread);
+        let sync_time = self.sync_timer.last().min(SYNC_ALLOWANCE_MAX);
+        self.election_at =
+            now + ELECTION_TIMEOUT_MIN + sync_time + Duration::from_millis(spread);
+        self.election_deferred = false;
+    }
+
+    /// Puts off this member's election, once, while another candidate syncs
+    /// its own vote: on slow disks both would otherwise vote for themselves.
+    fn defer_election(&mut self, now: Duration) {
+        if self.election_deferred {
+            return;
+        }
+        // The candidate's disk may be slower than this member's.
+        let vote_due = now + 2 * self.sync_timer.last().min(SYNC_ALLOWANCE_MAX);
+        self.election_at = self.election_at.max(vote_due);
+        self.election_deferred = true;
     }
 
     /// Schedules the next restart poll: `delay` from now, plus this voter's
@@ -88,7 +137,10 @@
     ///
     /// Guards against a member that was partitioned: without a pre-vote it
     /// would return with a higher term and depose a working leader.
-    pub(super) fn ask_pre_votes(&mut self, now: Duration) {
+    ///
+    /// `votes` are those that this member already has in its current term and
+    /// still accepts more of.
+    fn ask_pre_votes(&mut self, now: Duration, votes: Option<BTreeSet<Arc<str>>>) {
         let own = BTreeSet::from([Arc::clone(&self.identity.instance)]);
         // During the wait after its start a member may not vote for itself.
         let granted = if self.is_free_to_vote(now) {
@@ -96,8 +148,11 @@
         } else {
             BTreeSet::new()
         };
-        self.election_state =
-            ElectionState::PreCandidate(PreVotes { granted, idle: own });
+        self.election_state = ElectionState::PreCandidate(PreVotes {
+            granted,
+            idle: own,
+            votes,
+        });
         let last = self.log.last();
         for voter in self.other_voters() {
             self.send(&voter, MessageBody::PreVote { last });
@@ -112,9 +167,14 @@
         last: ConfigVersion,
     ) {
         let next_term = message.term + 1;
+        let is_syncing_vote = self.hard.voted_for.is_some() && !self.output.hard_synced();
         let granted = next_term > self.hard.term
             && last >= self.log.last()
+            && !is_syncing_vote
             && self.is_free_to_vote(now);
+        if granted {
+            self.defer_election(now);
+        }
         let body = MessageBody::PreVoteAnswer {
             next_term,
             granted,
@@ -124,13 +184,14 @@
     }
 
     /// True if this member is in `term` and can no longer lead it or an earlier
-    /// term: leadership is held only in memory, and a candidate that starts a
-    /// new pre-vote has given up its term.
+    /// term: leadership is held only in memory, and a member that accepts no
+    /// more votes has given up its term.
     fn is_idle_in(&self, term: u64) -> bool {
-        let idle = matches!(
-            self.election_state,
-            ElectionState::Follower | ElectionState::PreCandidate(_)
-        );
+        let idle = match &self.election_state {
+            ElectionState::Follower => true,
+            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.is_none(),
+            ElectionState::Candidate(_) | ElectionState::Leader(_) => false,
+        };
         idle && self.hard.term == term
     }
 
@@ -277,7 +338,12 @@
         if !counts || !self.is_listed(message) {
             return;
         }
-        if let ElectionState::Candidate(votes) = &mut self.election_state {
+        let votes = match &mut self.election_state {
+            ElectionState::Candidate(votes) => Some(votes),
+            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.as_mut(),
+            ElectionState::Follower | ElectionState::Leader(_) => None,
+        };
+        if let Some(votes) = votes {
             votes.insert(Arc::clone(&message.from));
             self.count_votes(now);
         }
@@ -286,7 +352,12 @@
     /// Becomes leader if a majority voted for this member. Its own vote counts
     /// once it is synced.
     pub(super) fn count_votes(&mut self, now: Duration) {
-        let ElectionState::Candidate(votes) = &self.election_state else {
+        let votes = match &self.election_state {
+            ElectionState::Candidate(votes) => Some(votes),
+            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.as_ref(),
+            ElectionState::Follower | ElectionState::Leader(_) => None,
+        };
+        let Some(votes) = votes else {
             return;
         };
         if self.output.hard_synced() && self.is_majority(votes) {
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -35,8 +35,8 @@
 use crate::agreement::saved_state::ReplicaSnapshot;
 use crate::agreement::saved_state::SavedState;
 use crate::agreement::saved_state::WriteBatch;
+use crate::agreement::sync_timer::SyncTimer;
 use crate::agreement::timing::ELECTION_TIMEOUT_MIN;
-use crate::agreement::timing::RESTART_POLL_SPREAD;
 use crate::agreement::timing::STEP_DOWN_TIMEOUT;
 use crate::agreement::voter_plan::PlanNote;
 use crate::agreement::voter_plan::PlanVerdict;
@@ -100,6 +100,7 @@
     pub(super) restored: bool,
     pub(super) election_state: ElectionState,
     pub(super) output: OutputQueue,
+    pub(super) sync_timer: SyncTimer,
     pub(super) watermarks: FolderWatermarks,
     pub(super) received_hellos: BTreeMap<Arc<str>, ReceivedHello>,
     /// Instances named in hello answers.
@@ -126,6 +127,8 @@
     /// No vote is granted before this time.
     pub(super) no_vote_until: Duration,
     pub(super) election_at: Duration,
+    /// True if `election_at` was put off for another candidate.
+    pub(super) election_deferred: bool,
     /// When this member next asks whether all voters have restarted.
     pub(super) restart_poll_at: Duration,
     pub(super) next_hello_at: Duration,
@@ -161,6 +164,7 @@
             restored: commit > 0,
             election_state: ElectionState::Follower,
             output: OutputQueue::new(log.last().index),
+            sync_timer: SyncTimer::default(),
             log,
             watermarks: FolderWatermarks::default(),
             received_hellos: BTreeMap::new(),
@@ -179,6 +183,7 @@
             // lease is not on disk.
             no_vote_until: now + ELECTION_TIMEOUT_MIN,
             election_at: now,
+            election_deferred: false,
             restart_poll_at: now,
             next_hello_at: now,
             may_bootstrap: true,
@@ -321,14 +326,7 @@
             self.tick_leader(now);
             return;
         }
-        if now >= self.election_at && self.is_voter() {
-            self.reset_election_timer(now);
-            self.ask_pre_votes(now);
-        }
-        if self.is_restart_poll_due(now) {
-            self.restart_poll_at = now + RESTART_POLL_SPREAD;
-            self.ask_pre_votes(now);
-        }
+        self.tick_election(now);
     }
 
     /// Handles a message from another instance.
@@ -407,7 +405,13 @@
     /// Records that every batch up to `sequence` is synced.
     pub fn persisted(&mut self, now: Duration, sequence: u64) {
         let synced = self.output.synced_index();
+        let was_hard_synced = self.output.hard_synced();
         self.output.persisted(sequence);
+        self.sync_timer.end(now, sequence);
+        if !was_hard_synced && self.output.hard_synced() {
+            // Vote requests and answers are sent from now on.
+            self.reset_election_timer(now);
+        }
         if !self.can_participate() {
             return;
         }
@@ -440,6 +444,9 @@
             self.replicate(now);
         }
         let (write, messages) = self.output.take(self.log.last().index);
+        if let Some(batch) = &write {
+            self.sync_timer.begin(now, batch.sequence);
+        }
         let restored = self.take_restored();
         let mut committed = Vec::new();
         while self.delivered < self.commit {
--- a/crates/core/src/agreement/timing.rs
+++ b/crates/core/src/agreement/timing.rs
@@ -32,6 +32,10 @@
 /// other.
 pub const ELECTION_TIMEOUT_JITTER: Duration = Duration::from_millis(400);
 
+/// Maximum time by which elections wait for a slow disk. A disk that hung once
+/// must not keep its member from elections for as long again.
+pub const SYNC_ALLOWANCE_MAX: Duration = Duration::from_secs(2);
+
 /// Interval of the restart poll, in which a restarted voter asks whether all
 /// voters have restarted. Each voter has its own slot in the interval. With
 /// three voters a slot is as long as an election on machines with 0.075 of a
