Known red: versions take turns with the calls of a busy node

Each step of a version's way through the node (the answer's head, its body, the decoded version) waits for a turn of all calls that are ready.

--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,6 +12,7 @@
 use actix_rt::System;
 use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use cowslip_core::control_state::ConfigSnapshot;
@@ -28,6 +30,7 @@
 use cowslip_node::follow_metrics::FollowMetrics;
 use cowslip_node::follow_task;
 use cowslip_node::follow_task::FollowOptions;
+use cowslip_node::gate_messages::GateMessage;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::follow_messages::ReportCall;
 use cowslip_wire::http_listener::HttpHandler;
@@ -49,6 +52,14 @@
 /// long again for a busy machine.
 const APPLY_TIME_MAX: Duration = Duration::from_millis(800);
 
+/// Time from the acknowledgement of a change to its being in force at all nodes, as
+/// users state it.
+const CHANGE_TIME_MAX: Duration = Duration::from_secs(2);
+
+/// Calls that a busy node has ready at any time, and the time that each takes.
+const BUSY_TASKS: usize = 300;
+const BUSY_TIME: Duration = Duration::from_millis(5);
+
 /// Time after which a condition counts as never met.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -60,6 +71,18 @@
 }
 
 impl StalledReports {
+    fn new() -> Rc<Self> {
+        Rc::new(Self {
+            source: RefCell::new(UpdateSource::new(SourceIdentity {
+                instance: "control-1".into(),
+                failure_domain: "voss".into(),
+                run: 0,
+            })),
+            reports: Cell::new(0),
+            started: Instant::now(),
+        })
+    }
+
     fn restart(&self, run: u64, number: u64, endpoint: &str) {
         let mut source = UpdateSource::new(SourceIdentity {
             instance: "control-1".into(),
@@ -111,6 +134,40 @@
     }
 }
 
+/// Runs a control instance on a thread of its own. It publishes another version
+/// when it is told to.
+fn spawn_control(publish: oneshot::Receiver<()>) -> SocketAddr {
+    let (started, address) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        System::new().block_on(async move {
+            let instance = StalledReports::new();
+            instance.restart(1, 1, "records-1");
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let handler = Rc::new(StalledHandler(Rc::clone(&instance)));
+            let listener = HttpListener::bind(any, 8, handler).expect("a free port");
+            started.send(listener.address()).expect("the test waits");
+            publish.await.expect("the test publishes a version");
+            let now = instance.started.elapsed();
+            instance.source.borrow_mut().publish(now, snapshot(2));
+            std::future::pending::<()>().await;
+        });
+    });
+    address.recv().expect("the control instance started")
+}
+
+/// Keeps the calling thread busy, as calls do that arrive faster than a node can
+/// handle them.
+fn spawn_busy_tasks() {
+    for _ in 0..BUSY_TASKS {
+        actix_rt::spawn(async {
+            loop {
+                thread::sleep(BUSY_TIME);
+                tokio::task::yield_now().await;
+            }
+        });
+    }
+}
+
 fn snapshot(number: u64) -> ConfigSnapshot {
     let mut document = FleetDocument::default();
     for service in 0..number {
@@ -139,19 +196,74 @@
     }
 }
 
-/// Stands in for the entry task: applies each version at once.
+/// A node's follower, with a stand-in for the entry task that applies each version
+/// at once.
+struct TestFollower {
+    applied: Rc<Cell<AppliedVersion>>,
+    _controls: watch::Sender<Vec<SocketAddr>>,
+    _gate: mpsc::UnboundedReceiver<GateMessage>,
+}
+
+/// The version in force, and since when.
+#[derive(Clone, Copy)]
+struct AppliedVersion {
+    version: ConfigVersion,
+    at: Instant,
+}
+
+impl TestFollower {
+    /// Follows the control instance at `address` and waits for version 1.1.
+    async fn spawn(address: SocketAddr) -> Self {
+        let (entry, messages) = mpsc::channel(64);
+        let (sender, gate) = mpsc::unbounded_channel();
+        let applied = Rc::new(Cell::new(AppliedVersion {
+            version: ConfigVersion::ZERO,
+            at: Instant::now(),
+        }));
+        actix_rt::spawn(apply_versions(messages, Rc::clone(&applied)));
+        let (controls, watched) = watch::channel(vec![address]);
+        follow_task::spawn(FollowOptions {
+            instance: "node-1".into(),
+            failure_domain: "voss".into(),
+            controls: watched,
+            seed: 0,
+            wait: Duration::from_millis(400),
+            client: PeerClient::new(AccessKey::new(KEY)),
+            entry,
+            gate: sender,
+            metrics: FollowMetrics::new(&mut Registry::default()),
+        });
+        let follower = Self {
+            applied,
+            _controls: controls,
+            _gate: gate,
+        };
+        follower.wait_for(ConfigVersion::new(1, 1)).await;
+        follower
+    }
+
+    /// Waits until `version` is in force and returns since when.
+    async fn wait_for(&self, version: ConfigVersion) -> Instant {
+        wait_until(TIMEOUT, || self.applied.get().version == version).await;
+        self.applied.get().at
+    }
+}
+
 async fn apply_versions(
     mut messages: mpsc::Receiver<EntryMessage>,
-    applied: Rc<Cell<ConfigVersion>>,
+    applied: Rc<Cell<AppliedVersion>>,
 ) {
     while let Some(message) = messages.recv().await {
         match message {
-            EntryMessage::Install(Some(snapshot), _) => applied.set(snapshot.version),
+            EntryMessage::Install(Some(snapshot), _) => applied.set(AppliedVersion {
+                version: snapshot.version,
+                at: Instant::now(),
+            }),
             EntryMessage::Report(reply) => {
                 let _ = reply.send(NodeReport {
                     node: "node-1".into(),
                     failure_domain: "voss".into(),
-                    applied: applied.get(),
+                    applied: applied.get().version,
                     refused: None,
                 });
             }
@@ -165,43 +277,38 @@
 #[test]
 fn a_report_without_an_answer_holds_back_no_version() {
     System::new().block_on(async {
-        let instance = Rc::new(StalledReports {
-            source: RefCell::new(UpdateSource::new(SourceIdentity {
-                instance: "control-1".into(),
-                failure_domain: "voss".into(),
-                run: 1,
-            })),
-            reports: Cell::new(0),
-            started: Instant::now(),
-        });
+        let instance = StalledReports::new();
         instance.restart(1, 1, "records-1");
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let handler = Rc::new(StalledHandler(Rc::clone(&instance)));
         let listener = HttpListener::bind(any, 8, handler).expect("a free port");
-        let (entry, messages) = mpsc::channel(64);
-        let (gate, _gate_messages) = mpsc::unbounded_channel();
-        let applied = Rc::new(Cell::new(ConfigVersion::ZERO));
-        actix_rt::spawn(apply_versions(messages, Rc::clone(&applied)));
-        let (_controls, controls) = watch::channel(vec![listener.address()]);
-        follow_task::spawn(FollowOptions {
-            instance: "node-1".into(),
-            failure_domain: "voss".into(),
-            controls,
-            seed: 0,
-            wait: Duration::from_millis(400),
-            client: PeerClient::new(AccessKey::new(KEY)),
-            entry,
-            gate,
-            metrics: FollowMetrics::new(&mut Registry::default()),
-        });
-        wait_until(TIMEOUT, || applied.get() == ConfigVersion::new(1, 1)).await;
+        let follower = TestFollower::spawn(listener.address()).await;
         // A new run of the instance lists another endpoint than the node remembers.
         instance.restart(2, 1, "records-2");
         wait_until(TIMEOUT, || instance.reports.get() > 0).await;
         let now = instance.started.elapsed();
+        let published = Instant::now();
         instance.source.borrow_mut().publish(now, snapshot(2));
-        let took =
-            wait_until(TIMEOUT, || applied.get() == ConfigVersion::new(1, 2)).await;
+        let applied_at = follower.wait_for(ConfigVersion::new(1, 2)).await;
+        let took = applied_at - published;
         assert!(took < APPLY_TIME_MAX, "in force after {took:?}");
     });
 }
+
+// Guards against a change that takes turns with the calls of a busy node at each step
+// of its way, so that it is in force too late.
+#[test]
+fn a_busy_node_applies_a_version_in_time() {
+    let (publish, published) = oneshot::channel();
+    let address = spawn_control(published);
+    System::new().block_on(async {
+        let follower = TestFollower::spawn(address).await;
+        spawn_busy_tasks();
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let published = Instant::now();
+        publish.send(()).expect("the control instance runs");
+        let applied_at = follower.wait_for(ConfigVersion::new(1, 2)).await;
+        let took = applied_at - published;
+        assert!(took < CHANGE_TIME_MAX, "in force after {took:?}");
+    });
+}
