A node follows its control instance on a thread of its own

Cause: polls, versions and calls took turns on one thread, and each step of a version's way waited for a turn of all ready calls. The kernel now gives the follower its time at once; only the last step, the installation, is done on the calls' thread, which looks at work from other threads between a few dozen of its own tasks.

--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -1,14 +1,17 @@
 //! Fetches configuration and directory updates from control instances, and
 //! publishes the node's own endpoint record to them.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use log::info;
 use log::warn;
+use tokio::runtime::Builder;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -24,6 +27,7 @@
 use cowslip_core::version::ConfigVersion;
 use cowslip_core::version_follower::FollowStep;
 use cowslip_core::version_follower::VersionFollower;
+use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::follow_messages::ChunkCall;
 use cowslip_wire::follow_messages::FollowCall;
 use cowslip_wire::follow_messages::FollowReply;
@@ -98,8 +102,8 @@
     pub seed: u64,
     /// How long a control instance holds a poll while it has no updates.
     pub wait: Duration,
-    /// Client for the control instances.
-    pub client: PeerClient,
+    /// Key of the messages to the control instances.
+    pub system_key: AccessKey,
     /// Channel to the entry task, which gets the updates.
     pub entry: mpsc::Sender<EntryMessage>,
     /// Channel to the gate task, which gets the directory's records of the node's
@@ -109,9 +113,12 @@
     pub metrics: FollowMetrics,
 }
 
-/// Starts following. The returned channel holds the address of the control
-/// instance in use.
-pub fn spawn(options: FollowOptions) -> ControlWatch {
+/// Starts following on a thread of its own, which ends with the entry task. The
+/// returned channel holds the address of the control instance in use.
+///
+/// Load pattern: calls arrive faster than a node can handle them. Polls and
+/// versions would take turns with hundreds of calls on the calls' thread.
+pub fn spawn(options: FollowOptions) -> io::Result<ControlWatch> {
     let first = options.seed as usize;
     let domain = Arc::clone(&options.failure_domain);
     let ring = SourceRing::new(domain, &options.controls.borrow(), first);
@@ -120,27 +127,33 @@
     // The first node to report spares the others the same report.
     let spread_ms = options.seed % UNLISTED_SPREAD.as_millis() as u64;
     let unlisted_delay = UNLISTED_DELAY_MIN + Duration::from_millis(spread_ms);
-    let (report_returns, returned_reports) = mpsc::unbounded_channel();
-    let follower = ControlFollower {
-        timing,
-        backoff: ReconnectBackoff::new(options.seed).bounded(timing.backoff_max),
-        options,
-        ring,
-        current,
-        versions: VersionFollower::new(Duration::ZERO),
-        directory: DirectoryFollower::default(),
-        unlisted_delay,
-        report_returns,
-        returned_reports,
-        waited: false,
-        started: Instant::now(),
-    };
-    actix_rt::spawn(follower.run());
-    watched
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let thread = thread::Builder::new().name("follow".to_owned());
+    thread.spawn(move || {
+        let (report_returns, returned_reports) = mpsc::unbounded_channel();
+        let follower = ControlFollower {
+            timing,
+            backoff: ReconnectBackoff::new(options.seed).bounded(timing.backoff_max),
+            client: PeerClient::new(options.system_key.clone()),
+            options,
+            ring,
+            current,
+            versions: VersionFollower::new(Duration::ZERO),
+            directory: DirectoryFollower::default(),
+            unlisted_delay,
+            report_returns,
+            returned_reports,
+            waited: false,
+            started: Instant::now(),
+        };
+        actix_rt::Runtime::from(runtime).block_on(follower.run());
+    })?;
+    Ok(watched)
 }
 
 struct ControlFollower {
     options: FollowOptions,
+    client: PeerClient,
     timing: PollTiming,
     ring: SourceRing,
     current: watch::Sender<SocketAddr>,
@@ -272,7 +285,7 @@
             node_domain: Some(Arc::clone(&self.options.failure_domain)),
         };
         let address = self.ring.current();
-        let client = &self.options.client;
+        let client = &self.client;
         let answer = match client
             .send(address, &call, self.timing.answer_timeout)
             .await?
@@ -357,7 +370,7 @@
             endpoints,
         };
         let call = ReportCall { batch };
-        let client = self.options.client.clone();
+        let client = self.client.clone();
         let report_returns = self.report_returns.clone();
         actix_rt::spawn(async move {
             let sent = client.send(address, &call, REQUEST_TIMEOUT).await;
@@ -387,7 +400,7 @@
         }
         while let FollowStep::Fetch { version, at } = step {
             let call = ChunkCall { version, at };
-            let client = &self.options.client;
+            let client = &self.client;
             let answer = client.send(address, &call, REQUEST_TIMEOUT).await?;
             let now = self.started.elapsed();
             step = self.versions.chunk(now, answer.chunk.as_deref());
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -251,11 +251,11 @@
             controls: watched_controls,
             wait: settings.follow_wait,
             seed,
-            client: peers.clone(),
+            system_key: settings.system_key.clone(),
             entry: entry.clone(),
             gate: gate.clone(),
             metrics: FollowMetrics::new(&mut registry),
-        });
+        })?;
         evidence_task::spawn(
             entry.clone(),
             peers.clone(),
--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -39,7 +39,6 @@
 use cowslip_wire::http_reply::HttpReply;
 use cowslip_wire::message_reply;
 use cowslip_wire::messages::WireCall;
-use cowslip_wire::peer_client::PeerClient;
 
 use crate::condition_wait::wait_until;
 
@@ -228,11 +227,12 @@
             controls: watched,
             seed: 0,
             wait: Duration::from_millis(400),
-            client: PeerClient::new(AccessKey::new(KEY)),
+            system_key: AccessKey::new(KEY),
             entry,
             gate: sender,
             metrics: FollowMetrics::new(&mut Registry::default()),
-        });
+        })
+        .expect("a thread to follow on");
         let follower = Self {
             applied,
             _controls: controls,
