--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -27,7 +27,7 @@
     /// Voters that can no longer lead this member's term or an earlier one.
     idle: BTreeSet<Arc<str>>,
     /// Votes for this member in its current term, if it still accepts more.
-    votes: Option<BTreeSet<Arc<str>>>,
+    pub(super) votes: Option<BTreeSet<Arc<str>>>,
 }
 
 /// One voter's answer to a pre-vote.
@@ -70,7 +70,7 @@
         }
         if now >= self.election_at && self.is_voter() {
             self.reset_election_timer(now);
-            let votes = self.take_votes();
+            let votes = self.election_state.votes_mut().map(std::mem::take);
             self.ask_pre_votes(now, votes);
         }
         if self.is_restart_poll_due(now) {
@@ -79,16 +79,6 @@
         }
     }
 
-    /// The votes that a candidate has so far. Voters with slow disks answer
-    /// after several election timeouts, and their votes still count.
-    fn take_votes(&mut self) -> Option<BTreeSet<Arc<str>>> {
-        match &mut self.election_state {
-            ElectionState::Candidate(votes) => Some(std::mem::take(votes)),
-            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.take(),
-            ElectionState::Follower | ElectionState::Leader(_) => None,
-        }
-    }
-
     /// Restarts the wait for a leader. It includes a sync, because a voter
     /// answers only after one.
     pub(super) fn reset_election_timer(&mut self, now: Duration) {
@@ -187,11 +177,7 @@
     /// term: leadership is held only in memory, and a member that accepts no
     /// more votes has given up its term.
     fn is_idle_in(&self, term: u64) -> bool {
-        let idle = match &self.election_state {
-            ElectionState::Follower => true,
-            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.is_none(),
-            ElectionState::Candidate(_) | ElectionState::Leader(_) => false,
-        };
+        let idle = !self.is_leader() && self.election_state.votes().is_none();
         idle && self.hard.term == term
     }
 
@@ -338,12 +324,7 @@
         if !counts || !self.is_listed(message) {
             return;
         }
-        let votes = match &mut self.election_state {
-            ElectionState::Candidate(votes) => Some(votes),
-            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.as_mut(),
-            ElectionState::Follower | ElectionState::Leader(_) => None,
-        };
-        if let Some(votes) = votes {
+        if let Some(votes) = self.election_state.votes_mut() {
             votes.insert(Arc::clone(&message.from));
             self.count_votes(now);
         }
@@ -352,12 +333,7 @@
     /// Becomes leader if a majority voted for this member. Its own vote counts
     /// once it is synced.
     pub(super) fn count_votes(&mut self, now: Duration) {
-        let votes = match &self.election_state {
-            ElectionState::Candidate(votes) => Some(votes),
-            ElectionState::PreCandidate(pre_votes) => pre_votes.votes.as_ref(),
-            ElectionState::Follower | ElectionState::Leader(_) => None,
-        };
-        let Some(votes) = votes else {
+        let Some(votes) = self.election_state.votes() else {
             return;
         };
         if self.output.hard_synced() && self.is_majority(votes) {
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -55,6 +55,29 @@
     Leader(Leadership),
 }
 
+impl ElectionState {
+    /// Votes for this member in its current term; `None` if it accepts none.
+    ///
+    /// Voters with slow disks answer after several election timeouts, so a
+    /// candidate goes on counting votes while it asks for the next pre-votes.
+    pub(super) fn votes(&self) -> Option<&BTreeSet<Arc<str>>> {
+        match self {
+            Self::Candidate(votes) => Some(votes),
+            Self::PreCandidate(pre_votes) => pre_votes.votes.as_ref(),
+            Self::Follower | Self::Leader(_) => None,
+        }
+    }
+
+    /// Like [`Self::votes`], to add one or to take them.
+    pub(super) fn votes_mut(&mut self) -> Option<&mut BTreeSet<Arc<str>>> {
+        match self {
+            Self::Candidate(votes) => Some(votes),
+            Self::PreCandidate(pre_votes) => pre_votes.votes.as_mut(),
+            Self::Follower | Self::Leader(_) => None,
+        }
+    }
+}
+
 /// The leader as known to one member.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LeaderStatus {
