--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -146,7 +146,7 @@
             waited: false,
             started: Instant::now(),
         };
-        actix_rt::Runtime::from(runtime).block_on(follower.run());
+        actix_rt::Runtime::from(runtime).block_on(follower.run_until_closed());
     })?;
     Ok(watched)
 }
@@ -190,8 +190,18 @@
 }
 
 impl ControlFollower {
+    /// Follows until the entry task has ended.
+    async fn run_until_closed(self) {
+        let entry = self.options.entry.clone();
+        tokio::select! {
+            biased;
+            () = entry.closed() => {}
+            () = self.run() => {}
+        }
+    }
+
     async fn run(mut self) {
-        while !self.options.entry.is_closed() {
+        loop {
             self.update_controls();
             let outcome = self.poll().await;
             self.options.metrics.update(self.versions.counts());
--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
@@ -47,6 +48,9 @@
 
 const KEY: &str = "a-key-of-the-fleet-of-this-test";
 
+/// How long a control instance holds a poll.
+const FOLLOW_WAIT: Duration = Duration::from_millis(400);
+
 /// Time after which a published version must be in force: a poll of the node, and as
 /// long again for a busy machine.
 const APPLY_TIME_MAX: Duration = Duration::from_millis(800);
@@ -195,6 +199,24 @@
     }
 }
 
+fn follow_options(
+    controls: watch::Receiver<Vec<SocketAddr>>,
+    entry: mpsc::Sender<EntryMessage>,
+    gate: mpsc::UnboundedSender<GateMessage>,
+) -> FollowOptions {
+    FollowOptions {
+        instance: "node-1".into(),
+        failure_domain: "voss".into(),
+        controls,
+        seed: 0,
+        wait: FOLLOW_WAIT,
+        system_key: AccessKey::new(KEY),
+        entry,
+        gate,
+        metrics: FollowMetrics::new(&mut Registry::default()),
+    }
+}
+
 /// A node's follower, with a stand-in for the entry task that applies each version
 /// at once.
 struct TestFollower {
@@ -221,18 +243,8 @@
         }));
         actix_rt::spawn(apply_versions(messages, Rc::clone(&applied)));
         let (controls, watched) = watch::channel(vec![address]);
-        follow_task::spawn(FollowOptions {
-            instance: "node-1".into(),
-            failure_domain: "voss".into(),
-            controls: watched,
-            seed: 0,
-            wait: Duration::from_millis(400),
-            system_key: AccessKey::new(KEY),
-            entry,
-            gate: sender,
-            metrics: FollowMetrics::new(&mut Registry::default()),
-        })
-        .expect("a thread to follow on");
+        follow_task::spawn(follow_options(watched, entry, sender))
+            .expect("a thread to follow on");
         let follower = Self {
             applied,
             _controls: controls,
@@ -312,3 +324,23 @@
         assert!(took < CHANGE_TIME_MAX, "in force after {took:?}");
     });
 }
+
+// Guards against a follower that outlives its node, and polls a control instance that
+// is gone too.
+#[test]
+fn a_follower_ends_with_its_node() {
+    System::new().block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let silent = TcpListener::bind(any).expect("a free port");
+        let address = silent.local_addr().expect("its address");
+        let (entry, messages) = mpsc::channel(64);
+        let (gate, _gate) = mpsc::unbounded_channel();
+        let (_controls, controls) = watch::channel(vec![address]);
+        let mut control = follow_task::spawn(follow_options(controls, entry, gate))
+            .expect("a thread to follow on");
+        actix_rt::time::sleep(FOLLOW_WAIT / 4).await;
+        drop(messages);
+        let ended = actix_rt::time::timeout(FOLLOW_WAIT / 4, control.changed()).await;
+        assert!(ended.is_ok_and(|changed| changed.is_err()));
+    });
+}
