A local fleet waits for its first leader

The fleet now waits for its leader, 60 s at most, so the command tests' fixture is as it was before.

--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use thiserror::Error;
 
@@ -18,8 +19,11 @@
 use cowslip_node::node_daemon::NodeSockets;
 use cowslip_node::node_settings::NodeSettings;
 use cowslip_wire::access_key::AccessKey;
+use cowslip_wire::messages::StatusCall;
 
 use crate::control_client::ControlClient;
+use crate::operator_error::OperatorError;
+use crate::operator_error::OperatorResult;
 use crate::stand_in::StandIn;
 use crate::stand_in::StandInConfig;
 use crate::stand_in::CONNECTIONS_MAX;
@@ -35,6 +39,9 @@
 /// Version of the backend servers that a local fleet starts with.
 const FIRST_VERSION: &str = "v1";
 
+/// Time for the first election; only a broken fleet needs it.
+const LEADER_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Access keys of a local fleet. They are no secret: it listens on loopback only.
 const OPERATOR_KEY: &str = "local-operator";
 const SYSTEM_KEY: &str = "local-system";
@@ -48,6 +55,9 @@
     /// A socket or file operation failed.
     #[error(transparent)]
     Io(#[from] io::Error),
+    /// The control instances elected no leader in time.
+    #[error("the fleet has no leader: {0}")]
+    NoLeader(#[from] OperatorError),
 }
 
 /// A node and the stand-in that it serves.
@@ -75,7 +85,8 @@
 }
 
 impl LocalFleet {
-    /// Starts the fleet of `plan` and keeps its state under `folder`.
+    /// Starts the fleet of `plan`, keeps its state under `folder`, and waits until
+    /// it has a leader.
     pub async fn spawn(plan: &DeploymentPlan, folder: &Path) -> Result<Self, FleetError> {
         let controls = spawn_controls(plan, folder)?;
         let addresses = control_addresses(&controls);
@@ -91,7 +102,23 @@
                 nodes.push(spawn_node(plan, server, &addresses, seed).await?);
             }
         }
-        Ok(Self { controls, nodes })
+        let fleet = Self { controls, nodes };
+        fleet.wait_for_leader().await?;
+        Ok(fleet)
+    }
+
+    /// The first election takes several syncs, and a slow disk may need longer for
+    /// them than an operator waits for an answer.
+    async fn wait_for_leader(&self) -> OperatorResult<()> {
+        let operator = self.operator();
+        let started = Instant::now();
+        loop {
+            let answer = operator.ask(&StatusCall {}).await;
+            let is_slow = matches!(answer, Err(OperatorError::NoAnswer(_)));
+            if !is_slow || started.elapsed() > LEADER_TIMEOUT {
+                return answer.map(drop);
+            }
+        }
     }
 
     /// Starts nodes and servers of another version of `service`, as many as the
--- a/crates/cli/tests/commands/fleet_fixture.rs
+++ b/crates/cli/tests/commands/fleet_fixture.rs
@@ -129,19 +129,14 @@
 
 /// Waits until the leader lists every node and every backend server. A node
 /// reports itself before the announcement of its backend server arrives.
-///
-/// On a disk whose syncs take a second the first election outlasts the
-/// patience of one question; the whole start has [`FLEET_TIMEOUT`].
 async fn wait_until_listed(fleet: &LocalFleet) {
     let operator = fleet.operator();
     loop {
-        let status = operator.ask(&StatusCall {}).await;
-        let endpoints = operator.ask(&EndpointsCall {}).await;
+        let status = operator.ask(&StatusCall {}).await.expect("a leader");
+        let endpoints = operator.ask(&EndpointsCall {}).await.expect("a leader");
         let nodes = fleet.nodes.len();
-        if let (Ok(status), Ok(endpoints)) = (status, endpoints) {
-            if status.nodes.len() == nodes && endpoints.len() == nodes {
-                return;
-            }
+        if status.nodes.len() == nodes && endpoints.len() == nodes {
+            return;
         }
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
