--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -328,8 +328,7 @@
                 let delay = self.random.random_range(1..longest);
                 let due = self.now + Duration::from_millis(delay);
                 let instance = &self.instances[at];
-                // A disk syncs writes in order; on a slow disk those that arrive
-                // during a sync share the next one.
+                // In order; writes that arrive during a sync share the next one.
                 let running = instance.unsynced.first().map_or(self.now, |(due, _)| *due);
                 let last = instance.unsynced.last().map_or(due, |(due, _)| *due);
                 let due = due.max(running + instance.sync_time).max(last);
