--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -16,7 +16,6 @@
 use crate::agreement::timing::RESTART_ELECTION_TIMEOUT;
 use crate::agreement::timing::RESTART_POLL_JITTER_DIVISOR;
 use crate::agreement::timing::RESTART_POLL_SPREAD;
-use crate::agreement::timing::SYNC_ALLOWANCE_MAX;
 use crate::version::ConfigVersion;
 
 /// Answers of the voters to a pre-vote.
@@ -85,7 +84,7 @@
         let spread = self
             .random
             .random_range(0..ELECTION_TIMEOUT_JITTER.as_millis() as u64);
-        let sync_time = self.sync_timer.last().min(SYNC_ALLOWANCE_MAX);
+        let sync_time = self.sync_timer.allowance();
         self.election_at =
             now + ELECTION_TIMEOUT_MIN + sync_time + Duration::from_millis(spread);
         self.election_deferred = false;
@@ -98,7 +97,7 @@
             return;
         }
         // The candidate's disk may be slower than this member's.
-        let vote_due = now + 2 * self.sync_timer.last().min(SYNC_ALLOWANCE_MAX);
+        let vote_due = now + 2 * self.sync_timer.allowance();
         self.election_at = self.election_at.max(vote_due);
         self.election_deferred = true;
     }
--- a/crates/core/src/agreement/sync_timer.rs
+++ b/crates/core/src/agreement/sync_timer.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::agreement::timing::SYNC_ALLOWANCE_MAX;
+
 /// Measures one write batch at a time, from its queueing to its sync.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SyncTimer {
@@ -23,8 +25,9 @@
         }
     }
 
-    /// Time that the last measured sync took; zero before the first one.
-    pub(super) fn last(&self) -> Duration {
-        self.last
+    /// Time that elections allow for a sync: that of the last one measured, zero
+    /// before the first.
+    pub(super) fn allowance(&self) -> Duration {
+        self.last.min(SYNC_ALLOWANCE_MAX)
     }
 }
