--- a/crates/control/tests/uplink_task.rs
+++ b/crates/control/tests/uplink_task.rs
@@ -1,6 +1,5 @@
 //! An instance that follows the leader, when another one becomes leader.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_rt::System;
@@ -12,8 +11,6 @@
 use cowslip_control::leader_view::LeaderView;
 use cowslip_control::source_metrics::SourceMetrics;
 use cowslip_control::uplink_task;
-use cowslip_core::directory::EndpointRecord;
-use cowslip_core::directory::EndpointStanding;
 use cowslip_core::report_aggregator::ReportBatch;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::follow_messages::FollowCall;
@@ -22,10 +19,13 @@
 use cowslip_wire::peer_client::PeerClient;
 
 use crate::condition_wait::wait_until;
+use crate::endpoint_record::endpoint_record;
 use crate::silent_instance::SilentInstance;
 
 #[path = "../../wire/tests/support/condition_wait.rs"]
 mod condition_wait;
+#[path = "../../wire/tests/support/endpoint_record.rs"]
+mod endpoint_record;
 #[path = "../../wire/tests/support/silent_instance.rs"]
 mod silent_instance;
 
@@ -43,20 +43,6 @@
     }
 }
 
-fn endpoint() -> EndpointRecord {
-    EndpointRecord {
-        instance: "records-1".into(),
-        service: "records".into(),
-        version: "v1".into(),
-        failure_domain: "voss".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-        slots: 9,
-        standing: EndpointStanding::Serving,
-        incarnation: 1,
-        sequence: 1,
-    }
-}
-
 // Guards against an instance that follows nobody for two seconds after an election,
 // because it still waits for the answer of a leader that was cut off.
 #[test]
@@ -78,7 +64,7 @@
         actix_rt::spawn(reports);
         let batch = ReportBatch {
             groups: Vec::new(),
-            endpoints: vec![endpoint()],
+            endpoints: vec![endpoint_record("records-1")],
         };
         let reported = fanout.send(FanoutMessage::Report(batch)).await;
         assert!(reported.is_ok());
--- a/crates/node/tests/control_watch.rs
+++ b/crates/node/tests/control_watch.rs
@@ -1,6 +1,5 @@
 //! Reports of a node that turns to another control instance.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_rt::System;
@@ -8,8 +7,6 @@
 use tokio::sync::watch;
 
 use cowslip_core::crash_suspects::SuspectCall;
-use cowslip_core::directory::EndpointRecord;
-use cowslip_core::directory::EndpointStanding;
 use cowslip_node::crash_task;
 use cowslip_node::follow_task;
 use cowslip_wire::access_key::AccessKey;
@@ -19,10 +16,13 @@
 use cowslip_wire::peer_client::PeerClient;
 
 use crate::condition_wait::wait_until;
+use crate::endpoint_record::endpoint_record;
 use crate::silent_instance::SilentInstance;
 
 #[path = "../../wire/tests/support/condition_wait.rs"]
 mod condition_wait;
+#[path = "../../wire/tests/support/endpoint_record.rs"]
+mod endpoint_record;
 #[path = "../../wire/tests/support/silent_instance.rs"]
 mod silent_instance;
 
@@ -33,20 +33,6 @@
 /// Time after which a condition counts as never met.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-fn record() -> EndpointRecord {
-    EndpointRecord {
-        instance: "records-1".into(),
-        service: "records".into(),
-        version: "v1".into(),
-        failure_domain: "voss".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-        slots: 9,
-        standing: EndpointStanding::Serving,
-        incarnation: 1,
-        sequence: 1,
-    }
-}
-
 fn cut_call() -> SuspectCall {
     let fingerprint = "0123456789abcdef0123456789abcdef".parse();
     SuspectCall {
@@ -69,7 +55,9 @@
         actix_rt::spawn(publish);
         let (crashes, reported) = mpsc::unbounded_channel();
         crash_task::spawn("node-1".into(), client, control, reported);
-        records.send(record()).expect("the task runs");
+        records
+            .send(endpoint_record("records-1"))
+            .expect("the task runs");
         crashes.send(vec![cut_call()]).expect("the task runs");
         let both = [ReportCall::PATH, CrashCall::PATH];
         wait_until(TIMEOUT, || both.iter().all(|path| old.was_asked(path))).await;
--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -17,8 +17,6 @@
 use tokio::sync::watch;
 
 use cowslip_core::control_state::ConfigSnapshot;
-use cowslip_core::directory::EndpointRecord;
-use cowslip_core::directory::EndpointStanding;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::ServiceSpec;
 use cowslip_core::follow_exchange::FollowCall;
@@ -42,9 +40,12 @@
 use cowslip_wire::messages::WireCall;
 
 use crate::condition_wait::wait_until;
+use crate::endpoint_record::endpoint_record;
 
 #[path = "../../wire/tests/support/condition_wait.rs"]
 mod condition_wait;
+#[path = "../../wire/tests/support/endpoint_record.rs"]
+mod endpoint_record;
 
 const KEY: &str = "a-key-of-the-fleet-of-this-test";
 
@@ -97,7 +98,7 @@
         source.publish(now, snapshot(number));
         let batch = ReportBatch {
             groups: Vec::new(),
-            endpoints: vec![record(endpoint)],
+            endpoints: vec![endpoint_record(endpoint)],
         };
         source.report(now, batch);
         self.source.replace(source);
@@ -185,20 +186,6 @@
     }
 }
 
-fn record(instance: &str) -> EndpointRecord {
-    EndpointRecord {
-        instance: instance.into(),
-        service: "records".into(),
-        version: "v1".into(),
-        failure_domain: "voss".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-        slots: 9,
-        standing: EndpointStanding::Serving,
-        incarnation: 1,
-        sequence: 1,
-    }
-}
-
 fn follow_options(
     controls: watch::Receiver<Vec<SocketAddr>>,
     entry: mpsc::Sender<EntryMessage>,
