Nodes follow the control instances that the configuration names

What callers saw: after 887 of 986 nodes were killed, 1,423 calls of two seconds were refused though their servers were up.

Cause: settings name three control instances, and every node follows one of those. They are in three of five failure domains, so that nodes of the other two follow across domains, and after a mass start 330 copies of the directory leave each of the three links. What an instance serves grows as the fleet; the number of instances that serve does not.

Change: the leader proposes the roster of live control instances as part of the configuration, so that a partition cannot name two lists. Each node chooses by rendezvous hash among those of its domain. A starting node, which knows only its settings, is told the roster in the first answer and fetches everything from the instance it chose.

--- a/crates/control/benches/fanout_cost/fleet_model.rs
+++ b/crates/control/benches/fanout_cost/fleet_model.rs
@@ -166,6 +166,8 @@
             directory: self.directory.request(),
             wait_ms: self.wait_ms,
             node_domain: self.node_domain.clone(),
+            control: None,
+            needs_roster: false,
         };
         codec::encode(&call).expect("a call encodes")
     }
@@ -203,6 +205,7 @@
 pub fn answer(bytes: &[u8]) -> Result<FollowAnswer, Duration> {
     match codec::decode(bytes).expect("an answer decodes") {
         FollowReply::Update(answer) => Ok(*answer),
+        FollowReply::Roster(_) => panic!("no follower of the model asks for it"),
         FollowReply::RetryAfter(after_ms) => Err(Duration::from_millis(after_ms)),
     }
 }
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::node_presence::NodePresence;
 use cowslip_wire::admin_handler::AdminHandler;
 use cowslip_wire::admin_handler::ADMIN_CONNECTIONS_MAX;
@@ -26,6 +27,7 @@
 use crate::agreement_task::AgreementError;
 use crate::agreement_task::AgreementMessage;
 use crate::control_handler::ControlHandler;
+use crate::control_roster_task;
 use crate::control_settings::ControlSettings;
 use crate::evacuation_api::EvacuationApi;
 use crate::fanout_task;
@@ -127,8 +129,13 @@
             client.clone(),
             fanout.clone(),
         ));
+        let seat = ControlSeat {
+            instance: Arc::clone(&settings.instance),
+            failure_domain: Arc::clone(&settings.failure_domain),
+            address: sockets.address()?,
+        };
         actix_rt::spawn(uplink_task::follow(
-            Arc::clone(&settings.instance),
+            seat.clone(),
             leader,
             client,
             fanout.clone(),
@@ -145,6 +152,11 @@
             PeerClient::new(settings.system_key.clone()),
         );
         actix_rt::spawn(roster_task::run(agreement.clone(), fanout.clone()));
+        actix_rt::spawn(control_roster_task::run(
+            seat,
+            agreement.clone(),
+            fanout.clone(),
+        ));
         actix_rt::spawn(pin_task::run(agreement.clone(), fanout.clone()));
         let rollout_api = RolloutApi {
             agreement: agreement.clone(),
--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
+use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::control_state::AcceptedChange;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
@@ -65,6 +66,8 @@
     Status(oneshot::Sender<FleetStatus>),
     /// Returns the directory of backend servers.
     Endpoints(oneshot::Sender<Vec<EndpointRecord>>),
+    /// Returns the control instances that follow this one.
+    Controls(oneshot::Sender<Vec<ControlSeat>>),
     /// Waits for updates on behalf of a follower; the answer is encoded.
     Follow(FollowCall, oneshot::Sender<Bytes>),
     /// Returns a chunk of a snapshot.
@@ -226,6 +229,9 @@
                 let records = self.source.directory().records();
                 let _ = reply.send(records.cloned().collect());
             }
+            FanoutMessage::Controls(reply) => {
+                let _ = reply.send(self.source.live_controls(now));
+            }
             FanoutMessage::Follow(call, reply) => {
                 let id = self.source.follow(now, call);
                 self.replies.insert(id, reply);
--- a/crates/control/src/roster_task.rs
+++ b/crates/control/src/roster_task.rs
@@ -5,19 +5,14 @@
 
 use log::info;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 
-use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ConfigChange;
-use cowslip_core::claim::HolderRoster;
 use cowslip_core::claim::RosterPlanner;
-use cowslip_core::version::ConfigVersion;
-use cowslip_wire::wall_clock;
 
 use crate::agreement_task::AgreementHandle;
-use crate::agreement_task::AgreementMessage;
 use crate::fanout_task;
 use crate::fanout_task::FanoutMessage;
+use crate::system_change;
 
 /// How often the directory is checked; the timeouts of the roster are minutes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -47,33 +42,14 @@
         let current = &snapshot.document.holders;
         let planned = planner.plan(started.elapsed(), current, &records);
         if let Some(roster) = planned {
-            propose(&agreement, snapshot.version, roster).await;
+            info!(
+                "event=roster-proposed process=control seats={} before={}",
+                roster.seats.len(),
+                roster.before.len()
+            );
+            let change = ConfigChange::SetHolders(roster);
+            system_change::propose(&agreement, "claim-holders", snapshot.version, change)
+                .await;
         }
     }
 }
-
-/// Proposes the roster on condition that `version` is in force. If another change
-/// came first, the next check proposes the roster again.
-async fn propose(
-    agreement: &AgreementHandle,
-    version: ConfigVersion,
-    roster: HolderRoster,
-) {
-    let at_ms = wall_clock::millis();
-    info!(
-        "event=roster-proposed process=control seats={} before={}",
-        roster.seats.len(),
-        roster.before.len()
-    );
-    let entry = ChangeEntry {
-        request_id: format!("claim-holders-{version}-{at_ms}").into(),
-        expected: Some(version),
-        at_ms,
-        change: ConfigChange::SetHolders(roster),
-    };
-    let (reply, answer) = oneshot::channel();
-    let message = AgreementMessage::Change(Box::new(entry), reply);
-    if agreement.task.send(message).await.is_ok() {
-        let _ = answer.await;
-    }
-}
--- a/crates/control/src/uplink_task.rs
+++ b/crates/control/src/uplink_task.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory_follower::DirectoryFollower;
 use cowslip_core::document::validate;
@@ -71,15 +72,15 @@
     watched_value::wait_until(leader, is_other).await;
 }
 
-/// Follows the current leader and installs its updates.
+/// Follows the current leader, which learns `seat` from it, and installs its updates.
 pub async fn follow(
-    instance: Arc<str>,
+    seat: ControlSeat,
     leader: LeaderWatch,
     client: PeerClient,
     fanout: mpsc::Sender<FanoutMessage>,
 ) {
     let mut follower = LeaderFollower {
-        instance,
+        seat,
         leader: leader.clone(),
         client,
         fanout,
@@ -112,7 +113,7 @@
 }
 
 struct LeaderFollower {
-    instance: Arc<str>,
+    seat: ControlSeat,
     leader: LeaderWatch,
     client: PeerClient,
     fanout: mpsc::Sender<FanoutMessage>,
@@ -145,7 +146,7 @@
         };
         self.versions.adopt(state.snapshot);
         let call = FollowCall {
-            follower: Arc::clone(&self.instance),
+            follower: Arc::clone(&self.seat.instance),
             held: self.versions.held(),
             refused: self.versions.refused(),
             whole: self.versions.needs_snapshot(),
@@ -153,6 +154,8 @@
             directory: self.directory.request(),
             wait_ms: wait.as_millis() as u64,
             node_domain: None,
+            control: Some(self.seat.clone()),
+            needs_roster: false,
         };
         let sent_at = BootInstant::now();
         let other = wait_for_other_leader(&self.leader, address);
@@ -163,6 +166,10 @@
                 return Ok(true);
             }
             Some(FollowReply::Update(answer)) => *answer,
+            Some(FollowReply::Roster(_)) => {
+                let problem = "a roster that was not asked for";
+                return Err(PeerError::NoResponse(problem.to_owned()));
+            }
             Some(FollowReply::RetryAfter(after_ms)) => {
                 self.waited = true;
                 info!(
@@ -244,7 +251,7 @@
         }
         warn!(
             "event=version-refused process=control instance={} version={}",
-            self.instance, snapshot.version
+            self.seat.instance, snapshot.version
         );
         let held = self.versions.held();
         self.versions.record_outcome(held, Some(snapshot.version));
--- a/crates/control/tests/uplink_task.rs
+++ b/crates/control/tests/uplink_task.rs
@@ -11,6 +11,7 @@
 use cowslip_control::leader_view::LeaderView;
 use cowslip_control::source_metrics::SourceMetrics;
 use cowslip_control::uplink_task;
+use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::report_aggregator::ReportBatch;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::follow_messages::FollowCall;
@@ -53,12 +54,13 @@
         let metrics = SourceMetrics::new(&mut Registry::default());
         let fanout = fanout_task::spawn("control-1".into(), "voss".into(), metrics);
         let client = PeerClient::new(AccessKey::new("test-system"));
-        let follow = uplink_task::follow(
-            "control-1".into(),
-            leader.clone(),
-            client.clone(),
-            fanout.clone(),
-        );
+        let seat = ControlSeat {
+            instance: "control-1".into(),
+            failure_domain: "voss".into(),
+            address: ([127, 0, 0, 1], 7_101).into(),
+        };
+        let follow =
+            uplink_task::follow(seat, leader.clone(), client.clone(), fanout.clone());
         actix_rt::spawn(follow);
         let reports = uplink_task::send_reports(leader, client, fanout.clone());
         actix_rt::spawn(reports);
--- a/crates/core/src/agreement/log_entry.rs
+++ b/crates/core/src/agreement/log_entry.rs
@@ -46,6 +46,7 @@
                     + document.exceptions.len()
             }
             ConfigChange::SetHolders(roster) => roster.before.len() + roster.seats.len(),
+            ConfigChange::SetControls(roster) => roster.seats.len(),
             _ => 0,
         };
         PART_BYTES * (parts + 1)
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -7,6 +7,7 @@
 
 use crate::claim::HolderRoster;
 use crate::config_delta::ConfigDelta;
+use crate::control_roster::ControlRoster;
 use crate::document::DocumentFault;
 use crate::document::ExceptionEntry;
 use crate::document::FleetDocument;
@@ -47,6 +48,8 @@
     /// One of the two steps that replace the roster of claim holders; proposed
     /// only by the leader.
     SetHolders(HolderRoster),
+    /// Replace the roster of control instances; proposed only by the leader.
+    SetControls(ControlRoster),
     /// Start, step or end the move of a service to a new version.
     Move(MoveChange),
     /// Evacuate a failure domain, or end its evacuation.
@@ -119,6 +122,9 @@
                 roster.before.len(),
                 roster.seats.len()
             ),
+            Self::SetControls(roster) => {
+                format!("{} control instances", roster.seats.len())
+            }
             Self::Move(change) => change.summary(),
             Self::Evacuate(change) => change.summary(),
             Self::Quarantine(change) => change.summary(),
--- a/crates/core/src/claim/roster.rs
+++ b/crates/core/src/claim/roster.rs
@@ -21,6 +21,7 @@
 use super::ROSTER_LEASE;
 use crate::directory::EndpointRecord;
 use crate::directory::EndpointStanding;
+use crate::rendezvous;
 
 /// Number of holders of a key.
 const HOLDERS_PER_KEY: usize = 3;
@@ -91,13 +92,12 @@
 }
 
 /// The seats with the highest rank, from different failure domains as far as
-/// there are enough of them. This is rendezvous hashing: adding or removing a
-/// seat moves only the keys that the seat gains or loses.
+/// there are enough of them.
 fn choose_holders(seats: &[HolderSeat], key: &KeyDigest) -> Vec<Arc<str>> {
     let mut best_per_domain: BTreeMap<&str, RankedSeat<'_>> = BTreeMap::new();
     let mut others = Vec::new();
     for seat in seats {
-        let rank = splitmix64(fnv1a(&seat.instance) ^ key.leading_u64());
+        let rank = rendezvous::rank(&seat.instance, key.leading_u64());
         let ranked = RankedSeat { rank, seat };
         let Some(best) = best_per_domain.get_mut(&*seat.failure_domain) else {
             best_per_domain.insert(&seat.failure_domain, ranked);
@@ -122,25 +122,6 @@
     set
 }
 
-/// 64-bit FNV-1a hash; gives the same result in every process and version.
-fn fnv1a(text: &str) -> u64 {
-    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in text.bytes() {
-        hash ^= u64::from(byte);
-        hash = hash.wrapping_mul(0x0000_0100_0000_01b3);
-    }
-    hash
-}
-
-/// The output function of SplitMix64, so that similar inputs get unrelated
-/// ranks.
-fn splitmix64(input: u64) -> u64 {
-    let mut mixed = input.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
-
 /// Runs on the leader and decides when the roster has to change. The timers
 /// start from zero on a new leader, which only delays a change.
 #[derive(Debug, Default)]
--- a/crates/core/src/config_delta.rs
+++ b/crates/core/src/config_delta.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use crate::config_digest::ConfigDigest;
+use crate::control_roster::ControlRoster;
 use crate::control_state::ConfigSnapshot;
 use crate::document::CallerLimits;
 use crate::document::EvacuationTable;
@@ -63,6 +64,8 @@
     evacuations: Option<EvacuationTable>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     quarantines: Option<QuarantineTable>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    controls: Option<ControlRoster>,
 }
 
 /// The reason why a delta cannot be applied; the follower then requests a whole
@@ -115,6 +118,7 @@
                 .then(|| new.evacuations.clone()),
             quarantines: (old.quarantines != new.quarantines)
                 .then(|| new.quarantines.clone()),
+            controls: (old.controls != new.controls).then(|| new.controls.clone()),
         };
         delta.diff_services(old, new);
         delta.diff_defaults(old, new);
@@ -204,6 +208,7 @@
             limits: self.limits.as_ref().unwrap_or(&old.limits).clone(),
             labels: self.labels.as_ref().unwrap_or(&old.labels).clone(),
             holders: old.holders.clone(),
+            controls: self.controls.as_ref().unwrap_or(&old.controls).clone(),
             evacuations: self
                 .evacuations
                 .as_ref()
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -230,6 +230,7 @@
     let mut edited = written.clone();
     keep_service_versions(current, &mut edited);
     edited.holders = current.holders.clone();
+    edited.controls = current.controls.clone();
     edited.evacuations = current.evacuations.clone();
     edited.quarantines = current.quarantines.clone();
     edited
@@ -322,6 +323,7 @@
             // entry nodes would at once choose other holders, and a call
             // whose key is claimed at the old ones could run again.
             edited.holders = document.holders.clone();
+            edited.controls = document.controls.clone();
             // A file that was written before an evacuation must not end it.
             edited.evacuations = document.evacuations.clone();
             edited.quarantines = document.quarantines.clone();
@@ -334,6 +336,7 @@
             pin_version(&mut edited, service, version)?;
         }
         ConfigChange::SetHolders(roster) => edited.holders = roster.clone(),
+        ConfigChange::SetControls(roster) => edited.controls = roster.clone(),
         ConfigChange::SetDefault { key, value } => edited.defaults.set(*key, *value),
         ConfigChange::AddException(entry) => edited.exceptions.push(entry.clone()),
         // Changes of a move are applied by the registry of moves instead,
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::claim::HolderRoster;
+use crate::control_roster::ControlRoster;
 use crate::quarantine::QuarantineTable;
 use crate::tuning::TuningKey;
 use crate::tuning::TuningTable;
@@ -47,6 +48,9 @@
     /// not by operators.
     #[serde(default, skip_serializing_if = "HolderRoster::is_empty")]
     pub holders: HolderRoster,
+    /// Control instances that nodes follow; set by the leader, not by operators.
+    #[serde(default, skip_serializing_if = "ControlRoster::is_empty")]
+    pub controls: ControlRoster,
     /// Failure domains whose backend servers get no calls; changed only by orders
     /// of their own, not with the rest of the document.
     #[serde(default, skip_serializing_if = "EvacuationTable::is_empty")]
--- a/crates/core/src/follow_exchange.rs
+++ b/crates/core/src/follow_exchange.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 
 use crate::config_history::ConfigUpdate;
+use crate::control_roster::ControlRoster;
+use crate::control_roster::ControlSeat;
 use crate::directory_follower::DirectoryRequest;
 use crate::directory_follower::DirectoryUpdate;
 use crate::move_tracker::NodeReport;
@@ -39,6 +41,13 @@
     /// `None` for other followers.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub node_domain: Option<Arc<str>>,
+    /// The follower's own seat if it is a control instance that nodes may follow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<ControlSeat>,
+    /// True if the follower is a node that knows only the instances in its settings,
+    /// and may be told the roster first.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub needs_roster: bool,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -74,6 +83,9 @@
     /// milliseconds.
     #[serde(rename = "Later")]
     RetryAfter(u64),
+    /// The control instances to choose from, sent only to a follower that
+    /// [needs the roster](FollowCall::needs_roster).
+    Roster(ControlRoster),
 }
 
 /// Updates since the follower's last request.
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -6,6 +6,7 @@
 //! waiting follower once, and followers in the same state share one answer;
 //! a report costs a few tree operations; an idle follower costs nothing.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 
 use crate::applied_versions::AppliedVersions;
 use crate::config_history::ConfigHistory;
+use crate::control_roster::ControlRoster;
+use crate::control_roster::ControlSeat;
 use crate::control_state::ConfigSnapshot;
 use crate::directory::EndpointDirectory;
 use crate::directory::EndpointRecord;
@@ -47,6 +50,10 @@
 /// Interval between checks for expired leases: a tenth of the lease time.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a control instance counts as live after its last request. It sends two
+/// a second.
+const CONTROL_LIVE: Duration = Duration::from_secs(2);
+
 /// Identity of a source.
 #[derive(Clone, Debug)]
 pub struct SourceIdentity {
@@ -106,6 +113,8 @@
     applied: AppliedVersions,
     queue: FollowerQueue,
     names: HashMap<FollowerId, Arc<str>>,
+    /// Control instances that follow this one, with the time of their last request.
+    controls: BTreeMap<ControlSeat, Duration>,
     ready: Vec<SharedAnswer>,
     aggregator: ReportAggregator,
     freshness: SourceFreshness,
@@ -128,6 +137,7 @@
             applied: AppliedVersions::default(),
             queue: FollowerQueue::default(),
             names: HashMap::new(),
+            controls: BTreeMap::new(),
             ready: Vec::new(),
             aggregator: ReportAggregator::default(),
             freshness: SourceFreshness::default(),
@@ -160,6 +170,14 @@
         &self.directory
     }
 
+    /// Control instances that follow this one at `now`.
+    pub fn live_controls(&self, now: Duration) -> Vec<ControlSeat> {
+        let live = self.controls.iter();
+        live.filter(|(_, seen)| now.saturating_sub(**seen) < CONTROL_LIVE)
+            .map(|(seat, _)| seat.clone())
+            .collect()
+    }
+
     /// Counters so far.
     pub fn counts(&self) -> SourceCounts {
         self.counts
@@ -207,6 +225,9 @@
             self.leases.touch(now, &report.node);
             self.move_tracker.record_report(now, report);
         }
+        if let Some(seat) = &call.control {
+            self.record_control(now, seat);
+        }
         let sync =
             DirectorySync::choose(&self.directory, self.identity.run, &call.directory);
         let revision = match &sync {
@@ -224,6 +245,10 @@
         let wait = Duration::from_millis(call.wait_ms).min(WAIT_MAX);
         let id = self.queue.enqueue(now, now + wait, state);
         self.names.insert(id, Arc::clone(&call.follower));
+        if let Some(roster) = self.roster_for(&call) {
+            self.answer_with_reply(id, FollowReply::Roster(roster));
+            return id;
+        }
         if let Err(after) = self.admit(now, &call, &state) {
             self.answer_with_reply(id, FollowReply::RetryAfter(after.as_millis() as u64));
             return id;
@@ -253,6 +278,22 @@
         id
     }
 
+    fn record_control(&mut self, now: Duration, seat: &ControlSeat) {
+        self.controls
+            .retain(|_, seen| now.saturating_sub(*seen) < CONTROL_LIVE);
+        self.controls.insert(seat.clone(), now);
+    }
+
+    /// The roster for a node that knows only the instances in its settings.
+    ///
+    /// Load pattern: a thousand nodes start at once and all ask the same few
+    /// instances, whose links their copies of the directory would fill for seconds.
+    fn roster_for(&self, call: &FollowCall) -> Option<ControlRoster> {
+        let roster = &self.current().document.controls;
+        let is_told = call.needs_roster && !roster.is_empty();
+        is_told.then(|| roster.clone())
+    }
+
     /// Applies admission control to a follower's first request to this run.
     /// An error holds the time after which the follower shall retry.
     fn admit(
--- a/crates/core/tests/distribution_faults.rs
+++ b/crates/core/tests/distribution_faults.rs
@@ -111,6 +111,7 @@
     match own.expect("every request is answered").reply {
         FollowReply::Update(answer) => *answer,
         FollowReply::RetryAfter(_) => panic!("request rate is far below the limit"),
+        FollowReply::Roster(_) => panic!("a roster that was not asked for"),
     }
 }
 
@@ -168,6 +169,8 @@
             directory,
             wait_ms: 0,
             node_domain: None,
+            control: None,
+            needs_roster: false,
         };
         let answer = ask(&mut self.leader, self.now, call);
         if !arrives {
@@ -201,6 +204,8 @@
             directory: node.directory.request(),
             wait_ms: 5_000,
             node_domain: Some("voss".into()),
+            control: None,
+            needs_roster: false,
         };
         let run_number = node.run_number;
         let id = self.relays[relay].follow(self.now, call);
--- a/crates/core/tests/start_herd.rs
+++ b/crates/core/tests/start_herd.rs
@@ -94,6 +94,8 @@
         directory: directory.request(),
         wait_ms: 400,
         node_domain: Some("domain-0".into()),
+        control: None,
+        needs_roster: false,
     }
 }
 
@@ -136,7 +138,7 @@
                     last = last.max(busy_until);
                     arrivals.push(Reverse((busy_until + ms(2), number)));
                 }
-                FollowReply::Update(_) => {}
+                FollowReply::Update(_) | FollowReply::Roster(_) => {}
             }
         }
     }
--- a/crates/core/tests/update_source.rs
+++ b/crates/core/tests/update_source.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use cowslip_core::config_history::ConfigUpdate;
+use cowslip_core::control_roster::ControlRoster;
+use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -70,6 +72,8 @@
         directory,
         wait_ms: 4_000,
         node_domain: Some("voss".into()),
+        control: None,
+        needs_roster: false,
     }
 }
 
@@ -122,6 +126,7 @@
     match reply {
         FollowReply::Update(answer) => *answer,
         FollowReply::RetryAfter(after) => panic!("deferred for {after} ms"),
+        FollowReply::Roster(_) => panic!("a roster that was not asked for"),
     }
 }
 
@@ -363,6 +368,8 @@
         now,
         FollowCall {
             node_domain: None,
+            control: None,
+            needs_roster: false,
             ..call("relay", 0, DirectoryFollower::default().request())
         },
     );
@@ -483,3 +490,91 @@
     assert_eq!(progress.state, MoveState::InProgress);
     assert_eq!((progress.nodes_applied, progress.nodes_refused), (1, 1));
 }
+
+fn seat(number: u16, domain: &str) -> ControlSeat {
+    ControlSeat {
+        instance: format!("control-{number}").into(),
+        failure_domain: domain.into(),
+        address: ([127, 0, 0, 1], 7_100 + number).into(),
+    }
+}
+
+/// A leader whose configuration names three control instances and whose directory
+/// lists `servers`.
+fn leader_with_roster(servers: u64) -> UpdateSource {
+    let mut leader = leader();
+    let mut listed = snapshot(1);
+    Arc::make_mut(&mut listed.document).controls = ControlRoster {
+        seats: vec![seat(1, "sogn"), seat(2, "voss"), seat(3, "voss")],
+    };
+    leader.publish(ms(0), listed);
+    let mut records = Vec::new();
+    for number in 0..servers {
+        records.push(record(
+            &format!("server-{number}"),
+            1,
+            EndpointStanding::Serving,
+        ));
+    }
+    leader.report(ms(0), endpoints(records));
+    leader
+}
+
+fn starting_call(needs_roster: bool) -> FollowCall {
+    FollowCall {
+        needs_roster,
+        ..call("node-1", 0, DirectoryFollower::default().request())
+    }
+}
+
+// Guards against a mass start in which all nodes fetch the whole directory from the
+// few instances that their settings name: the first answer must not grow with the
+// fleet, and the node is sent to an instance of its own domain.
+#[test]
+fn the_first_answer_to_a_starting_node_does_not_grow_with_the_fleet() {
+    let mut sizes = Vec::new();
+    for servers in [10, 1_000, 5_000] {
+        let mut leader = leader_with_roster(servers);
+        let reply = answer(&mut leader, ms(100), starting_call(true));
+        sizes.push(rmp_serde::to_vec_named(&reply).expect("encodes").len());
+        let FollowReply::Roster(roster) = reply else {
+            panic!("not a roster: {reply:?}");
+        };
+        assert_eq!(roster.seats.len(), 3);
+    }
+    assert_eq!(sizes[0], sizes[2]);
+}
+
+// Guards against a starting node that is told the roster again and again, and never
+// gets a configuration.
+#[test]
+fn a_starting_node_that_knows_the_roster_gets_the_configuration() {
+    let mut leader = leader_with_roster(10);
+    let update = updates(answer(&mut leader, ms(100), starting_call(false)));
+    assert_eq!(update.directory.records.len(), 10);
+    assert!(!matches!(update.config, ConfigUpdate::Current));
+}
+
+// Guards against a fleet that cannot start before it has a roster.
+#[test]
+fn a_source_without_a_roster_answers_with_the_configuration() {
+    let mut leader = leader();
+    leader.publish(ms(0), snapshot(1));
+    let update = updates(answer(&mut leader, ms(100), starting_call(true)));
+    assert!(!matches!(update.config, ConfigUpdate::Current));
+}
+
+// Guards against a roster that lists instances which are gone, or none of those that
+// follow the leader.
+#[test]
+fn control_instances_are_live_while_they_follow_the_leader() {
+    let mut leader = leader();
+    let following = FollowCall {
+        node_domain: None,
+        control: Some(seat(2, "voss")),
+        ..call("control-2", 0, DirectoryFollower::default().request())
+    };
+    leader.follow(ms(0), following);
+    assert_eq!(leader.live_controls(ms(1_900)), [seat(2, "voss")]);
+    assert_eq!(leader.live_controls(ms(2_100)), []);
+}
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use cowslip_core::control_roster::ControlRoster;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory_follower::DirectoryFollower;
@@ -119,9 +120,8 @@
 /// Load pattern: calls arrive faster than a node can handle them. Polls and
 /// versions would take turns with hundreds of calls on the calls' thread.
 pub fn spawn(options: FollowOptions) -> io::Result<ControlWatch> {
-    let first = options.seed as usize;
     let domain = Arc::clone(&options.failure_domain);
-    let ring = SourceRing::new(domain, &options.controls.borrow(), first);
+    let ring = SourceRing::new(domain, &options.controls.borrow(), options.seed);
     let (current, watched) = watch::channel(ring.current());
     let timing = PollTiming::new(options.wait);
     // The first node to report spares the others the same report.
@@ -256,6 +256,13 @@
         self.publish_source("settings");
     }
 
+    /// Applies the roster of control instances of a new configuration.
+    fn learn_controls(&mut self, roster: &ControlRoster) {
+        if self.ring.learn(self.started.elapsed(), roster) {
+            self.publish_source("roster");
+        }
+    }
+
     /// Publishes the address of the control instance in use, and logs it with the
     /// reason if it has changed.
     fn publish_source(&self, reason: &str) {
@@ -293,6 +300,8 @@
             directory: self.directory.request(),
             wait_ms: self.timing.wait.as_millis() as u64,
             node_domain: Some(Arc::clone(&self.options.failure_domain)),
+            control: None,
+            needs_roster: self.ring.needs_roster(),
         };
         let address = self.ring.current();
         let client = &self.client;
@@ -304,6 +313,13 @@
             FollowReply::RetryAfter(after_ms) => {
                 return Ok(PollOutcome::RetryAfter(Duration::from_millis(after_ms)))
             }
+            FollowReply::Roster(roster) if roster.is_empty() => {
+                return Ok(PollOutcome::Switch);
+            }
+            FollowReply::Roster(roster) => {
+                self.learn_controls(&roster);
+                return Ok(PollOutcome::Stay);
+            }
         };
         self.waited = false;
         self.update_directory(answer.directory).await;
@@ -323,6 +339,10 @@
         }
         // The entry task ends only with the node.
         let _ = self.options.entry.send(EntryMessage::SourceConfirmed).await;
+        if self.ring.current() != address {
+            // A roster in the answer named a nearer control instance.
+            return Ok(PollOutcome::Stay);
+        }
         if self.ring.answered(self.started.elapsed(), &domain) {
             self.publish_source("nearer");
         }
@@ -421,12 +441,17 @@
     /// Sends a snapshot to the entry task, which validates and installs it, and
     /// records the outcome.
     async fn offer(&mut self, snapshot: ConfigSnapshot) {
+        let offered = snapshot.version;
+        let document = Arc::clone(&snapshot.document);
         let update = EntryMessage::Install(Some(snapshot), Vec::new());
         if self.options.entry.send(update).await.is_err() {
             return;
         }
         if let Some(report) = request_report(&self.options.entry).await {
             self.versions.record_outcome(report.applied, report.refused);
+            if report.applied == offered {
+                self.learn_controls(&document.controls);
+            }
         }
     }
 }
