A node closes the connections to a control instance that it leaves

Cause: after a mass start the connections of all nodes stay open for 15 s at the few instances that settings name; at 5,171 nodes they are some 3,400 of the 4,096 that an instance serves.

Change: the client of the follower is made anew when the instance changes. Test: a node leaves an instance that names another, and the connection ends.

--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -264,13 +264,15 @@
     }
 
     /// Publishes the address of the control instance in use, and logs it with the
-    /// reason if it has changed.
-    fn publish_source(&self, reason: &str) {
+    /// reason if it has changed. The connections to the one before are closed: after a
+    /// mass start those of all nodes would stay open at the few that settings name.
+    fn publish_source(&mut self, reason: &str) {
         let address = self.ring.current();
         let previous = self.current.send_replace(address);
         if previous == address {
             return;
         }
+        self.client = PeerClient::new(self.options.system_key.clone());
         info!(
             "event=source-changed process=node control={address} previous={previous} reason={reason} held={}",
             self.versions.held()
--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -2,6 +2,9 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::io;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -16,10 +19,13 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use cowslip_core::control_roster::ControlRoster;
+use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::ServiceSpec;
 use cowslip_core::follow_exchange::FollowCall;
+use cowslip_core::follow_exchange::FollowReply;
 use cowslip_core::move_tracker::NodeReport;
 use cowslip_core::report_aggregator::ReportBatch;
 use cowslip_core::update_source::SourceIdentity;
@@ -31,6 +37,7 @@
 use cowslip_node::follow_task::FollowOptions;
 use cowslip_node::gate_messages::GateMessage;
 use cowslip_wire::access_key::AccessKey;
+use cowslip_wire::codec;
 use cowslip_wire::follow_messages::ReportCall;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
@@ -204,6 +211,69 @@
     }
 }
 
+/// A control instance of the settings that names another one, and what it sees of the
+/// node.
+struct RosterInstance {
+    listener: TcpListener,
+    near: SocketAddr,
+}
+
+impl RosterInstance {
+    /// Answers one request with the roster, then waits for the end of the connection.
+    fn run(self) -> io::Result<usize> {
+        let (mut stream, _) = self.listener.accept()?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        let mut request = [0; 4_096];
+        let mut length = 0;
+        // The call ends the request; its last field is read with the rest.
+        while !request[..length]
+            .windows(12)
+            .any(|part| part == b"needs_roster")
+        {
+            length += stream.read(&mut request[length..])?;
+        }
+        let roster = ControlRoster {
+            seats: vec![ControlSeat {
+                instance: "control-2".into(),
+                failure_domain: "voss".into(),
+                address: self.near,
+            }],
+        };
+        let body = codec::encode(&FollowReply::Roster(roster)).expect("encodes");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: application/msgpack\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(&body)?;
+        stream.read(&mut request)
+    }
+}
+
+// Guards against nodes that all follow the few control instances of their settings,
+// and against their connections that stay open there after a mass start.
+#[test]
+fn a_starting_node_leaves_the_instance_of_its_settings_for_one_of_its_domain() {
+    System::new().block_on(async {
+        let near = StalledReports::new();
+        near.restart(1, 1, "records-1");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler = Rc::new(StalledHandler(Rc::clone(&near)));
+        let near = HttpListener::bind(any, 8, handler).expect("a free port");
+        let listener = TcpListener::bind(any).expect("a free port");
+        let settings = listener.local_addr().expect("its address");
+        let instance = RosterInstance {
+            listener,
+            near: near.address(),
+        };
+        let seen = thread::spawn(move || instance.run());
+        let _follower = TestFollower::spawn(settings).await;
+        wait_until(TIMEOUT, || seen.is_finished()).await;
+        let left = seen.join().expect("the instance runs");
+        assert!(matches!(left, Ok(0)), "not closed: {left:?}");
+    });
+}
+
 /// A node's follower, with a stand-in for the entry task that applies each version
 /// at once.
 struct TestFollower {
