Directory records are sent as a batch; no roster beside earlier builds

What callers saw: after a mass kill 887 nodes fetched 986 records of 313 bytes each over links of 10 Mbit/s, and refused calls until they had them.

Cause: each record repeats its field names and the names of its service, version and failure domain.

Change: a batch writes shared names once and fields by position, for followers that say that they read it (40 bytes a record in the test). The leader proposes no roster of control instances while an instance of an earlier build, which cannot read one, follows it.

Evidence: tests of bytes a record, of damaged batches and of both forms.

--- a/crates/control/src/control_roster_task.rs
+++ b/crates/control/src/control_roster_task.rs
@@ -38,14 +38,16 @@
         else {
             return;
         };
-        let Some(mut live) = fanout_task::ask(&fanout, FanoutMessage::Controls).await
-        else {
+        let Some(live) = fanout_task::ask(&fanout, FanoutMessage::Controls).await else {
             return;
         };
         // Nodes refuse calls until they have a document with routes.
         if snapshot.document.services.is_empty() {
             continue;
         }
+        let Some(mut live) = live else {
+            continue;
+        };
         live.push(seat.clone());
         let roster = &snapshot.document.controls;
         let Some(planned) = plan.update(started.elapsed(), roster, &live) else {
--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -66,8 +66,9 @@
     Status(oneshot::Sender<FleetStatus>),
     /// Returns the directory of backend servers.
     Endpoints(oneshot::Sender<Vec<EndpointRecord>>),
-    /// Returns the control instances that follow this one.
-    Controls(oneshot::Sender<Vec<ControlSeat>>),
+    /// Returns the control instances that follow this one; `None` while one of them
+    /// states no seat.
+    Controls(oneshot::Sender<Option<Vec<ControlSeat>>>),
     /// Waits for updates on behalf of a follower; the answer is encoded.
     Follow(FollowCall, oneshot::Sender<Bytes>),
     /// Returns a chunk of a snapshot.
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -17,6 +17,7 @@
 pub use self::directory_digest::DirectoryDigest;
 
 mod directory_digest;
+pub(crate) mod record_batch;
 
 /// One backend server, as described by the node that runs beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/directory_follower.rs
+++ b/crates/core/src/directory_follower.rs
@@ -6,8 +6,12 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
 
+use crate::directory::record_batch;
+use crate::directory::record_batch::RecordBatch;
 use crate::directory::DirectoryDigest;
 use crate::directory::EndpointDirectory;
 use crate::directory::EndpointRecord;
@@ -32,23 +36,88 @@
     /// Digests of its buckets, if the source has requested them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub parts: Option<DirectoryDigest>,
+    /// True if the follower decodes records that are encoded as a batch.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub batched: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// A source's answer to a [`DirectoryRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryUpdate {
     /// Records that changed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<EndpointRecord>,
+    /// True if the records are encoded as a batch, for a follower that asked for it.
+    pub batched: bool,
     /// The follower's new position; `None` if the source first needs the
     /// digests of the buckets.
-    #[serde(rename = "place")]
     pub position: Option<DirectoryPosition>,
     /// Digests of the source's buckets, in answer to those of the follower.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub parts: Option<DirectoryDigest>,
 }
 
+/// A [`DirectoryUpdate`] as it is sent: its records are in one of the two lists.
+#[derive(Serialize)]
+struct SentUpdate<'a> {
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    records: &'a [EndpointRecord],
+    #[serde(skip_serializing_if = "RecordBatch::is_empty")]
+    batch: RecordBatch<'a>,
+    #[serde(rename = "place")]
+    position: Option<DirectoryPosition>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    parts: Option<&'a DirectoryDigest>,
+}
+
+impl Serialize for DirectoryUpdate {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let records = self.records.as_slice();
+        let (records, batch) = if self.batched {
+            (&[][..], records)
+        } else {
+            (records, &[][..])
+        };
+        let sent = SentUpdate {
+            records,
+            batch: RecordBatch(batch),
+            position: self.position,
+            parts: self.parts.as_ref(),
+        };
+        sent.serialize(serializer)
+    }
+}
+
+/// A [`DirectoryUpdate`] as it is received.
+#[derive(Deserialize)]
+struct ReceivedUpdate {
+    #[serde(default)]
+    records: Vec<EndpointRecord>,
+    #[serde(default, deserialize_with = "record_batch::deserialize")]
+    batch: Vec<EndpointRecord>,
+    #[serde(rename = "place")]
+    position: Option<DirectoryPosition>,
+    #[serde(default)]
+    parts: Option<DirectoryDigest>,
+}
+
+impl<'de> Deserialize<'de> for DirectoryUpdate {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let received = ReceivedUpdate::deserialize(deserializer)?;
+        let batched = !received.batch.is_empty();
+        let mut records = received.records;
+        records.extend(received.batch);
+        Ok(Self {
+            records,
+            batched,
+            position: received.position,
+            parts: received.parts,
+        })
+    }
+}
+
 /// How a source updates a follower's directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectorySync {
@@ -107,6 +176,7 @@
             position: self.position,
             digest: digest.whole(),
             parts: self.digests_requested.then(|| digest.clone()),
+            batched: true,
         }
     }
 
--- a/crates/core/src/follower_queue.rs
+++ b/crates/core/src/follower_queue.rs
@@ -42,6 +42,8 @@
     pub whole: bool,
     /// Last revision of this source's directory that the follower has read.
     pub revision: u64,
+    /// True if the follower decodes records that are encoded as a batch.
+    pub batched: bool,
 }
 
 /// A follower whose request is to be answered now.
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -115,6 +115,8 @@
     names: HashMap<FollowerId, Arc<str>>,
     /// Control instances that follow this one, with the time of their last request.
     controls: BTreeMap<ControlSeat, Duration>,
+    /// When a control instance that states no seat last sent a request.
+    seatless_at: Option<Duration>,
     ready: Vec<SharedAnswer>,
     aggregator: ReportAggregator,
     freshness: SourceFreshness,
@@ -138,6 +140,7 @@
             queue: FollowerQueue::default(),
             names: HashMap::new(),
             controls: BTreeMap::new(),
+            seatless_at: None,
             ready: Vec::new(),
             aggregator: ReportAggregator::default(),
             freshness: SourceFreshness::default(),
@@ -170,12 +173,20 @@
         &self.directory
     }
 
-    /// Control instances that follow this one at `now`.
-    pub fn live_controls(&self, now: Duration) -> Vec<ControlSeat> {
-        let live = self.controls.iter();
-        live.filter(|(_, seen)| now.saturating_sub(**seen) < CONTROL_LIVE)
-            .map(|(seat, _)| seat.clone())
-            .collect()
+    /// Control instances that follow this one at `now`; `None` while one of them
+    /// states no seat, because its build cannot read a configuration with a roster.
+    pub fn live_controls(&self, now: Duration) -> Option<Vec<ControlSeat>> {
+        let is_live = |seen: Duration| now.saturating_sub(seen) < CONTROL_LIVE;
+        if self.seatless_at.is_some_and(is_live) {
+            return None;
+        }
+        let mut live = Vec::new();
+        for (seat, seen) in &self.controls {
+            if is_live(*seen) {
+                live.push(seat.clone());
+            }
+        }
+        Some(live)
     }
 
     /// Counters so far.
@@ -225,8 +236,8 @@
             self.leases.touch(now, &report.node);
             self.move_tracker.record_report(now, report);
         }
-        if let Some(seat) = &call.control {
-            self.record_control(now, seat);
+        if call.node_domain.is_none() {
+            self.record_control(now, call.control.as_ref());
         }
         let sync =
             DirectorySync::choose(&self.directory, self.identity.run, &call.directory);
@@ -241,6 +252,7 @@
             refused: call.refused.unwrap_or_default(),
             whole: call.whole,
             revision,
+            batched: call.directory.batched,
         };
         let wait = Duration::from_millis(call.wait_ms).min(WAIT_MAX);
         let id = self.queue.enqueue(now, now + wait, state);
@@ -261,6 +273,7 @@
             DirectorySync::Records(records) => {
                 let update = DirectoryUpdate {
                     records,
+                    batched: state.batched,
                     position: Some(self.position()),
                     parts: Some(self.directory.digest().clone()),
                 };
@@ -269,6 +282,7 @@
             DirectorySync::NeedsDigests => {
                 let update = DirectoryUpdate {
                     records: Vec::new(),
+                    batched: state.batched,
                     position: None,
                     parts: None,
                 };
@@ -278,7 +292,11 @@
         id
     }
 
-    fn record_control(&mut self, now: Duration, seat: &ControlSeat) {
+    fn record_control(&mut self, now: Duration, seat: Option<&ControlSeat>) {
+        let Some(seat) = seat else {
+            self.seatless_at = Some(now);
+            return;
+        };
         self.controls
             .retain(|_, seen| now.saturating_sub(*seen) < CONTROL_LIVE);
         self.controls.insert(seat.clone(), now);
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -9,6 +9,8 @@
 use cowslip_core::directory::EndpointDirectory;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
+use cowslip_core::directory_follower::DirectoryPosition;
+use cowslip_core::directory_follower::DirectoryUpdate;
 
 fn record(instance: u8, incarnation: u64, sequence: u64) -> EndpointRecord {
     let standing = match (incarnation + sequence) % 3 {
@@ -110,3 +112,59 @@
     assert!(directory.get("replaced-19999").is_some());
     assert!(directory.get("replaced-0").is_none());
 }
+
+/// A received update whose only record has these positions of names and this
+/// standing.
+fn update_with_row(position: u32, standing: u8) -> Vec<u8> {
+    #[derive(serde::Serialize)]
+    struct SentUpdate {
+        batch: (Vec<&'static str>, Vec<SentRow>),
+        place: Option<DirectoryPosition>,
+    }
+    type SentRow = (&'static str, u32, u32, u32, SocketAddr, u32, u8, u64, u64);
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let row = ("server", position, 0, 0, address, 10, standing, 1, 1);
+    let sent = SentUpdate {
+        batch: (vec!["name"], vec![row]),
+        place: None,
+    };
+    rmp_serde::to_vec_named(&sent).expect("encodes")
+}
+
+// Guards against a damaged batch that ends the process, or gives a record that
+// nobody sent.
+#[test]
+fn a_batch_with_a_missing_name_or_an_unknown_standing_is_an_error() {
+    let decode = |bytes: Vec<u8>| rmp_serde::from_slice::<DirectoryUpdate>(&bytes);
+    let sound = decode(update_with_row(0, 2)).expect("decodes");
+    assert_eq!(sound.records.len(), 1);
+    assert!(decode(update_with_row(1, 2)).is_err());
+    assert!(decode(update_with_row(u32::MAX, 0)).is_err());
+    assert!(decode(update_with_row(0, 3)).is_err());
+}
+
+proptest! {
+    // Guards against a batch that gives a record the names of another.
+    #[test]
+    fn records_are_the_same_after_a_batch(
+        rows in prop::collection::vec((0..20_u8, 0..3_u8, 0..9_u64, 0..9_u64), 0..60),
+    ) {
+        let mut records = Vec::new();
+        for (instance, part, incarnation, sequence) in rows {
+            let mut sent = record(instance, incarnation, sequence);
+            sent.service = format!("service-{part}").into();
+            sent.version = format!("v{}", part % 2).into();
+            records.push(sent);
+        }
+        let update = DirectoryUpdate {
+            batched: !records.is_empty(),
+            records,
+            position: None,
+            parts: None,
+        };
+        let encoded = rmp_serde::to_vec_named(&update).expect("encodes");
+        let decoded: DirectoryUpdate =
+            rmp_serde::from_slice(&encoded).expect("decodes");
+        prop_assert_eq!(decoded, update);
+    }
+}
--- a/crates/core/tests/update_source.rs
+++ b/crates/core/tests/update_source.rs
@@ -295,6 +295,7 @@
         position: Default::default(),
         digest: source.directory().digest().whole(),
         parts: None,
+        batched: true,
     }
 }
 
@@ -575,6 +576,51 @@
         ..call("control-2", 0, DirectoryFollower::default().request())
     };
     leader.follow(ms(0), following);
-    assert_eq!(leader.live_controls(ms(1_900)), [seat(2, "voss")]);
-    assert_eq!(leader.live_controls(ms(2_100)), []);
+    let live = leader.live_controls(ms(1_900));
+    assert_eq!(live, Some(vec![seat(2, "voss")]));
+    assert_eq!(leader.live_controls(ms(2_100)), Some(Vec::new()));
+}
+
+// Guards against a roster in the log while an instance of an earlier build, which
+// cannot read it, is still running.
+#[test]
+fn no_roster_is_planned_while_an_instance_states_no_seat() {
+    let mut leader = leader();
+    let earlier_build = FollowCall {
+        node_domain: None,
+        ..call("control-2", 0, DirectoryFollower::default().request())
+    };
+    leader.follow(ms(0), earlier_build);
+    assert_eq!(leader.live_controls(ms(1_900)), None);
+}
+
+// Guards against a node of an earlier build that gets records as a batch, which it
+// cannot read, and so never learns of a server.
+#[test]
+fn only_a_follower_that_asks_for_it_gets_records_as_a_batch() {
+    for batched in [false, true] {
+        let mut leader = leader_with_roster(10);
+        let mut starting = starting_call(false);
+        starting.directory.batched = batched;
+        let reply = answer(&mut leader, ms(100), starting);
+        let encoded = rmp_serde::to_vec_named(&reply).expect("encodes");
+        let has_key = |key: &[u8]| encoded.windows(key.len()).any(|part| part == key);
+        assert_eq!(has_key(b"\xa5batch"), batched);
+        assert_eq!(has_key(b"\xa7records"), !batched);
+        let decoded: FollowReply = rmp_serde::from_slice(&encoded).expect("decodes");
+        assert_eq!(updates(decoded), updates(reply));
+    }
+}
+
+// Guards against a mass start that fills the links with copies of the directory.
+#[test]
+fn a_whole_copy_of_the_directory_takes_few_bytes_a_record() {
+    let mut sizes = Vec::new();
+    for servers in [1_000, 5_000] {
+        let mut leader = leader_with_roster(servers);
+        let reply = answer(&mut leader, ms(100), starting_call(false));
+        sizes.push(rmp_serde::to_vec_named(&reply).expect("encodes").len());
+    }
+    let each = (sizes[1] - sizes[0]) / 4_000;
+    assert!(each <= 40, "{each} bytes a record");
 }
