--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod config_digest;
 pub mod config_history;
 pub mod connection_renewal;
+pub mod control_presence;
 pub mod control_roster;
 pub mod control_state;
 pub mod crash_suspects;
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -6,7 +6,6 @@
 //! waiting follower once, and followers in the same state share one answer;
 //! a report costs a few tree operations; an idle follower costs nothing.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +14,7 @@
 
 use crate::applied_versions::AppliedVersions;
 use crate::config_history::ConfigHistory;
+use crate::control_presence::ControlPresence;
 use crate::control_roster::ControlRoster;
 use crate::control_roster::ControlSeat;
 use crate::control_state::ConfigSnapshot;
@@ -44,16 +44,12 @@
 /// Longest long-poll wait that a follower may request.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
-/// Approximate size of an encoded directory record, in bytes.
-const RECORD_BYTES: u64 = 160;
+/// Approximate size of a directory record in a batch, in bytes.
+const RECORD_BYTES: u64 = 64;
 
 /// Interval between checks for expired leases: a tenth of the lease time.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a control instance counts as live after its last request. It sends two
-/// a second.
-const CONTROL_LIVE: Duration = Duration::from_secs(2);
-
 /// Identity of a source.
 #[derive(Clone, Debug)]
 pub struct SourceIdentity {
@@ -113,10 +109,7 @@
     applied: AppliedVersions,
     queue: FollowerQueue,
     names: HashMap<FollowerId, Arc<str>>,
-    /// Control instances that follow this one, with the time of their last request.
-    controls: BTreeMap<ControlSeat, Duration>,
-    /// When a control instance that states no seat last sent a request.
-    seatless_at: Option<Duration>,
+    controls: ControlPresence,
     ready: Vec<SharedAnswer>,
     aggregator: ReportAggregator,
     freshness: SourceFreshness,
@@ -139,8 +132,7 @@
             applied: AppliedVersions::default(),
             queue: FollowerQueue::default(),
             names: HashMap::new(),
-            controls: BTreeMap::new(),
-            seatless_at: None,
+            controls: ControlPresence::default(),
             ready: Vec::new(),
             aggregator: ReportAggregator::default(),
             freshness: SourceFreshness::default(),
@@ -174,19 +166,9 @@
     }
 
     /// Control instances that follow this one at `now`; `None` while one of them
-    /// states no seat, because its build cannot read a configuration with a roster.
+    /// states no seat.
     pub fn live_controls(&self, now: Duration) -> Option<Vec<ControlSeat>> {
-        let is_live = |seen: Duration| now.saturating_sub(seen) < CONTROL_LIVE;
-        if self.seatless_at.is_some_and(is_live) {
-            return None;
-        }
-        let mut live = Vec::new();
-        for (seat, seen) in &self.controls {
-            if is_live(*seen) {
-                live.push(seat.clone());
-            }
-        }
-        Some(live)
+        self.controls.live(now)
     }
 
     /// Counters so far.
@@ -237,7 +219,7 @@
             self.move_tracker.record_report(now, report);
         }
         if call.node_domain.is_none() {
-            self.record_control(now, call.control.as_ref());
+            self.controls.record(now, call.control.as_ref());
         }
         let sync =
             DirectorySync::choose(&self.directory, self.identity.run, &call.directory);
@@ -292,16 +274,6 @@
         id
     }
 
-    fn record_control(&mut self, now: Duration, seat: Option<&ControlSeat>) {
-        let Some(seat) = seat else {
-            self.seatless_at = Some(now);
-            return;
-        };
-        self.controls
-            .retain(|_, seen| now.saturating_sub(*seen) < CONTROL_LIVE);
-        self.controls.insert(seat.clone(), now);
-    }
-
     /// The roster for a node that knows only the instances in its settings.
     ///
     /// Load pattern: a thousand nodes start at once and all ask the same few
