A large fleet saves what a few first tries earn as retries

Cause: a node saves at most half of its share of the fleet's burst. The share shrinks as the fleet grows; at 986 nodes half of it is 0.4 of a retry, and what three first tries earn no longer fits.

Change: the part that is saved is as large as four first tries earn, from a half to nine tenths of a share; the rest is earned over time, so that the sum stays the burst at any size. Small fleets, with a share above 1.2, are as before.

Test: a_fleet_that_doubles_still_uses_its_retry_allowance fails on the code before.

--- a/crates/core/src/load/retry_budget.rs
+++ b/crates/core/src/load/retry_budget.rs
@@ -8,14 +8,17 @@
 //!
 //! A fleet that sets a burst bounds the retries of all its nodes together: in any
 //! [`BURST_TIME`] they are at most the burst, and the earned fraction of the first
-//! tries in it. A node's share of the burst is earned in that time, half of it can be
-//! saved, and a process starts with none, so that restarts add nothing:
+//! tries in it. A part of a node's share of the burst can be saved, the rest is earned
+//! over that time, and a process starts with none, so that restarts add nothing:
 //!
 //! ```text
-//! for each node: saved before, at most burst / (2 * nodes)
-//!                + earned over time, burst / (2 * nodes)
+//! for each node: saved before, at most part * burst / nodes
+//!                + earned over time, (1 - part) * burst / nodes
 //! ```
 //!
+//! The part is a half. In a large fleet half a share is less than what a few first tries
+//! earn, and what they earn beyond it is lost, so there the part is larger.
+//!
 //! The bound needs each node to count at least as many nodes as there are. It counts
 //! those that the agreed configuration names and the most that it has known.
 //!
@@ -34,9 +37,16 @@
 /// Time in which the nodes together may spend the fleet's burst.
 pub const BURST_TIME: Duration = Duration::from_secs(10);
 
-/// Part of a node's share of the burst that it can save; the rest is earned within
-/// [`BURST_TIME`].
-const SAVED_PART: f64 = 0.5;
+/// Smallest part of a node's share of the burst that it can save.
+const SAVED_PART_MIN: f64 = 0.5;
+
+/// Largest such part. The rest is earned over time, so that a rarely called service has
+/// retries again after a failure.
+const SAVED_PART_MAX: f64 = 0.9;
+
+/// Number of first tries whose earnings a node can save, if its share allows it: those
+/// between two failures of a service that fails every fourth call.
+const SAVED_TRIES: f64 = 4.0;
 
 /// Maximum number of retries that one node saves, and its initial balance, if
 /// the fleet sets no burst: losing a server affects about as many calls as it
@@ -78,10 +88,12 @@
             };
         }
         let share = burst as f64 / nodes.max(1) as f64;
+        let saved_max =
+            (per_try * SAVED_TRIES).clamp(share * SAVED_PART_MIN, share * SAVED_PART_MAX);
         Self {
             per_try,
-            per_second: share * (1.0 - SAVED_PART) / BURST_TIME.as_secs_f64(),
-            saved_max: share * SAVED_PART,
+            per_second: (share - saved_max) / BURST_TIME.as_secs_f64(),
+            saved_max,
             initial: 0.0,
         }
     }
--- a/crates/core/tests/retry_sum.rs
+++ b/crates/core/tests/retry_sum.rs
@@ -302,3 +302,44 @@
         assert!((20..=53).contains(&spent), "{nodes} nodes: {spent}");
     }
 }
+
+/// Calls and repeats of a fleet of `nodes` with a few calls a second each, while all
+/// servers of a service shed half of their calls for most of a window.
+fn shedding_service(nodes: usize, burst: u64) -> ServiceCounts {
+    let config = BudgetConfig::of(PERCENT, burst, nodes);
+    let mut rng = SmallRng::seed_from_u64(nodes as u64);
+    let mut counts = ServiceCounts {
+        calls: 0,
+        repeats: 0,
+    };
+    let interval = Duration::from_millis(450);
+    for _ in 0..nodes {
+        let mut budget = RetryBudget::default();
+        for call in 0..60 {
+            budget.earn(interval * call, config);
+        }
+        for call in 60..79 {
+            budget.earn(interval * call, config);
+            counts.calls += 1;
+            while rng.random_bool(0.55) && budget.spend(&mut rng) {
+                counts.repeats += 1;
+            }
+        }
+    }
+    counts
+}
+
+// Guards against a share of the burst that shrinks with the fleet until what the first
+// tries earn does not fit into it, so that calls are refused with allowance left.
+#[test]
+fn a_fleet_that_doubles_still_uses_its_retry_allowance() {
+    for (nodes, used_percent) in [(500, 80), (1_000, 80), (2_000, 70)] {
+        let counts = shedding_service(nodes, 780);
+        let allowed = counts.calls * PERCENT / 100 + 780;
+        assert!(
+            counts.repeats <= allowed && counts.repeats * 100 >= allowed * used_percent,
+            "{nodes} nodes: {} repeats, {allowed} allowed",
+            counts.repeats
+        );
+    }
+}
