--- a/crates/core/src/directory_follower.rs
+++ b/crates/core/src/directory_follower.rs
@@ -38,7 +38,7 @@
     pub parts: Option<DirectoryDigest>,
     /// True if the follower decodes records that are encoded as a batch.
     #[serde(default, skip_serializing_if = "is_false")]
-    pub batched: bool,
+    pub reads_batches: bool,
 }
 
 fn is_false(value: &bool) -> bool {
@@ -176,7 +176,7 @@
             position: self.position,
             digest: digest.whole(),
             parts: self.digests_requested.then(|| digest.clone()),
-            batched: true,
+            reads_batches: true,
         }
     }
 
--- a/crates/core/src/follower_queue.rs
+++ b/crates/core/src/follower_queue.rs
@@ -43,7 +43,7 @@
     /// Last revision of this source's directory that the follower has read.
     pub revision: u64,
     /// True if the follower decodes records that are encoded as a batch.
-    pub batched: bool,
+    pub reads_batches: bool,
 }
 
 /// A follower whose request is to be answered now.
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -234,7 +234,7 @@
             refused: call.refused.unwrap_or_default(),
             whole: call.whole,
             revision,
-            batched: call.directory.batched,
+            reads_batches: call.directory.reads_batches,
         };
         let wait = Duration::from_millis(call.wait_ms).min(WAIT_MAX);
         let id = self.queue.enqueue(now, now + wait, state);
@@ -255,7 +255,7 @@
             DirectorySync::Records(records) => {
                 let update = DirectoryUpdate {
                     records,
-                    batched: state.batched,
+                    batched: state.reads_batches,
                     position: Some(self.position()),
                     parts: Some(self.directory.digest().clone()),
                 };
@@ -264,7 +264,7 @@
             DirectorySync::NeedsDigests => {
                 let update = DirectoryUpdate {
                     records: Vec::new(),
-                    batched: state.batched,
+                    batched: state.reads_batches,
                     position: None,
                     parts: None,
                 };
--- a/crates/core/src/update_source/answers.rs
+++ b/crates/core/src/update_source/answers.rs
@@ -81,7 +81,7 @@
         for (key, followers) in grouped {
             let directory = DirectoryUpdate {
                 records: self.directory.since(key.state.revision),
-                batched: key.state.batched,
+                batched: key.state.reads_batches,
                 position: Some(self.position()),
                 parts: None,
             };
--- a/crates/core/tests/version_follower.rs
+++ b/crates/core/tests/version_follower.rs
@@ -57,7 +57,7 @@
         refused: follower.refused().unwrap_or_default(),
         whole: follower.needs_snapshot(),
         revision: 0,
-        batched: false,
+        reads_batches: false,
     })
 }
 
