Nodes leave control instances that are cut off without waiting at each

Cause: a cut of the core.

Change: an instance out of touch with the leader answers running nodes at once, without admission, and a node pauses only when it has asked every instance.

Test: a_node_passes_over_instances_that_are_cut_off fails on the code before.

--- a/crates/core/src/source_ring.rs
+++ b/crates/core/src/source_ring.rs
@@ -104,6 +104,12 @@
         self.sources[self.current].address
     }
 
+    /// True if the source in use failed recently, and all others did too.
+    pub fn is_exhausted(&self, now: Duration) -> bool {
+        let rank = self.rank(now, &self.sources[self.current]);
+        matches!(rank, SourceRank::Failed(_))
+    }
+
     /// Records that the source in use answered from `failure_domain`. True if
     /// the follower switches to another source, which is in its own failure
     /// domain or in one that is not known yet.
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -243,12 +243,16 @@
             self.answer_with_reply(id, FollowReply::Roster(roster));
             return id;
         }
-        if let Err(after) = self.admit(now, &call, &state) {
-            self.answer_with_reply(id, FollowReply::RetryAfter(after.as_millis() as u64));
-            return id;
+        let is_cut_off = self.is_cut_off(now, &call);
+        if !is_cut_off {
+            if let Err(after) = self.admit(now, &call, &state) {
+                let after_ms = after.as_millis() as u64;
+                self.answer_with_reply(id, FollowReply::RetryAfter(after_ms));
+                return id;
+            }
         }
         match sync {
-            DirectorySync::Since(_) if self.has_update(now, &state) => {
+            DirectorySync::Since(_) if is_cut_off || self.has_update(now, &state) => {
                 self.answer_one(now, id)
             }
             DirectorySync::Since(_) => {}
@@ -284,6 +288,16 @@
         is_told.then(|| roster.clone())
     }
 
+    /// True if a running node has to turn to another source, because this one is out
+    /// of touch with the leader.
+    ///
+    /// Guards against nodes that lose a poll's wait at each source on one side of a
+    /// partition, and hold an old configuration for seconds.
+    fn is_cut_off(&self, now: Duration, call: &FollowCall) -> bool {
+        let is_running = call.node_domain.is_some() && !call.is_starting();
+        is_running && self.freshness.fresh_for(now).is_zero()
+    }
+
     /// Applies admission control to a follower's first request to this run.
     /// An error holds the time after which the follower shall retry.
     fn admit(
--- a/crates/core/tests/control_roster.rs
+++ b/crates/core/tests/control_roster.rs
@@ -136,6 +136,23 @@
     assert_eq!(ring.current(), seat(5).address);
 }
 
+// Guards against a node that asks the same few sources in turn, all of them cut off,
+// before it has asked each of the others.
+#[test]
+fn every_source_is_asked_once_before_any_is_asked_again() {
+    let mut ring = SourceRing::new(domain(0), &[seat(0).address], 5);
+    ring.learn(Duration::ZERO, &roster(10));
+    let mut asked = Vec::new();
+    while !ring.is_exhausted(secs(1)) {
+        asked.push(ring.current());
+        ring.failed(secs(1));
+    }
+    asked.sort();
+    let all: Vec<SocketAddr> = seats(10).iter().map(|seat| seat.address).collect();
+    assert_eq!(asked, all);
+    assert!(!ring.is_exhausted(secs(7)));
+}
+
 // Guards against followers that all switch when one instance joins: only those that
 // it gains may switch.
 #[test]
--- a/crates/core/tests/update_source/roster_answers.rs
+++ b/crates/core/tests/update_source/roster_answers.rs
@@ -153,3 +153,18 @@
     let each = (sizes[1] - sizes[0]) / 4_000;
     assert!(each <= 40, "{each} bytes a record");
 }
+
+// Guards against running nodes that wait out a whole poll at each source that is cut
+// off from the leader, or are told to come back to it later.
+#[test]
+fn a_source_that_is_cut_off_answers_running_nodes_at_once() {
+    let mut source = leader();
+    source.publish(ms(0), snapshot(1));
+    source.set_leading(ms(10), false);
+    for node in 0..1_000 {
+        let name = format!("node-{node}");
+        let call = call(&name, 1, DirectoryFollower::default().request());
+        let update = updates(answer(&mut source, ms(20), call));
+        assert_eq!(update.source.fresh_ms, 0);
+    }
+}
--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -226,6 +226,10 @@
                     self.options.metrics.count_later();
                     self.switch_source("unconfirmed");
                     self.backoff.reset();
+                    // Any other control instance may be in touch with the leader.
+                    if !self.ring.is_exhausted(self.started.elapsed()) {
+                        continue;
+                    }
                     self.timing.wait / 2
                 }
                 Err(error) => {
--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -278,7 +278,7 @@
 /// at once.
 struct TestFollower {
     applied: Rc<Cell<AppliedVersion>>,
-    _controls: watch::Sender<Vec<SocketAddr>>,
+    controls: watch::Sender<Vec<SocketAddr>>,
     _gate: mpsc::UnboundedReceiver<GateMessage>,
 }
 
@@ -304,7 +304,7 @@
             .expect("a thread to follow on");
         let follower = Self {
             applied,
-            _controls: controls,
+            controls,
             _gate: gate,
         };
         follower.wait_for(ConfigVersion::new(1, 1)).await;
@@ -364,6 +364,37 @@
     });
 }
 
+// Guards against a node that loses a poll's wait and a pause at each control instance
+// of one side of a partition, and gets a change too late.
+#[test]
+fn a_node_passes_over_instances_that_are_cut_off() {
+    System::new().block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut instances = Vec::new();
+        let mut listeners = Vec::new();
+        for _ in 0..7 {
+            let instance = StalledReports::new();
+            instance.restart(1, 1, "records-1");
+            let handler = Rc::new(StalledHandler(Rc::clone(&instance)));
+            listeners.push(HttpListener::bind(any, 8, handler).expect("a free port"));
+            instances.push(instance);
+        }
+        let addresses = listeners.iter().map(HttpListener::address).collect();
+        let follower = TestFollower::spawn(listeners[0].address()).await;
+        let newest = instances.pop().expect("an instance on the other side");
+        newest.restart(2, 2, "records-1");
+        for instance in &instances {
+            let now = instance.started.elapsed();
+            instance.source.borrow_mut().set_leading(now, false);
+        }
+        let cut_at = Instant::now();
+        follower.controls.send(addresses).expect("the node runs");
+        let applied_at = follower.wait_for(ConfigVersion::new(1, 2)).await;
+        let took = applied_at - cut_at;
+        assert!(took < APPLY_TIME_MAX, "in force after {took:?}");
+    });
+}
+
 // Guards against a change that takes turns with the calls of a busy node at each step
 // of its way, so that it is in force too late.
 #[test]
