The roster names an instance's address as members know it

Cause: a seat had the address that the instance listens on. Where others reach it at another one, as the soak's instances through their proxies, nodes would follow around the links that are cut, and the soak would check less than before.

Change: the seat has the address under which the settings list the instance, as in the agreement. Where both are the same, as on the users' platform, nothing changes.

--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -132,7 +132,7 @@
         let seat = ControlSeat {
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
-            address: sockets.address()?,
+            address: settings.address(),
         };
         actix_rt::spawn(uplink_task::follow(
             seat.clone(),
