--- a/crates/control/src/control_roster_task.rs
+++ b/crates/control/src/control_roster_task.rs
@@ -6,8 +6,8 @@
 use tokio::sync::mpsc;
 
 use cowslip_core::change::ConfigChange;
+use cowslip_core::control_roster::ControlPlanner;
 use cowslip_core::control_roster::ControlSeat;
-use cowslip_core::control_roster::RosterPlan;
 use cowslip_wire::boot_instant::BootInstant;
 
 use crate::agreement_task::AgreementHandle;
@@ -27,11 +27,11 @@
     fanout: mpsc::Sender<FanoutMessage>,
 ) {
     let started = BootInstant::now();
-    let mut plan = RosterPlan::default();
+    let mut planner = ControlPlanner::default();
     loop {
         actix_rt::time::sleep(CHECK_INTERVAL).await;
         if !agreement.leader.borrow().is_leading() {
-            plan = RosterPlan::default();
+            planner = ControlPlanner::default();
             continue;
         }
         let Some(snapshot) = fanout_task::ask(&fanout, FanoutMessage::Snapshot).await
@@ -41,7 +41,8 @@
         let Some(live) = fanout_task::ask(&fanout, FanoutMessage::Controls).await else {
             return;
         };
-        // Nodes refuse calls until they have a document with routes.
+        // With a version that has no routes nodes would answer that a route is
+        // missing, and not that they have no configuration yet.
         if snapshot.document.services.is_empty() {
             continue;
         }
@@ -50,7 +51,7 @@
         };
         live.push(seat.clone());
         let roster = &snapshot.document.controls;
-        let Some(planned) = plan.update(started.elapsed(), roster, &live) else {
+        let Some(planned) = planner.plan(started.elapsed(), roster, &live) else {
             continue;
         };
         info!(
--- a/crates/core/src/control_roster.rs
+++ b/crates/core/src/control_roster.rs
@@ -59,16 +59,16 @@
 /// Runs at the leader and decides when the roster has to change. The timers start
 /// from zero at a new leader, which only delays a change.
 #[derive(Debug, Default)]
-pub struct RosterPlan {
+pub struct ControlPlanner {
     candidate: Vec<ControlSeat>,
     candidate_since: Duration,
     absent_since: BTreeMap<Arc<str>, Duration>,
 }
 
-impl RosterPlan {
+impl ControlPlanner {
     /// Compares the roster in force with the `live` instances, the leader among
     /// them. Returns the roster to propose if it has to change.
-    pub fn update(
+    pub fn plan(
         &mut self,
         now: Duration,
         roster: &ControlRoster,
--- a/crates/core/src/directory_follower.rs
+++ b/crates/core/src/directory_follower.rs
@@ -37,14 +37,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub parts: Option<DirectoryDigest>,
     /// True if the follower decodes records that are encoded as a batch.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub reads_batches: bool,
 }
 
-fn is_false(value: &bool) -> bool {
-    !value
-}
-
 /// A source's answer to a [`DirectoryRequest`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryUpdate {
--- a/crates/core/src/follow_exchange.rs
+++ b/crates/core/src/follow_exchange.rs
@@ -27,11 +27,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub refused: Option<ConfigVersion>,
     /// True if a delta could not be applied and a whole snapshot is needed.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub whole: bool,
     /// True if this source gave the follower a retry time and the follower has
     /// waited for it.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub waited: bool,
     /// Request for directory updates.
     pub directory: DirectoryRequest,
@@ -46,14 +46,10 @@
     pub control: Option<ControlSeat>,
     /// True if the follower is a node that knows only the instances in its settings,
     /// and may be told the roster first.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub needs_roster: bool,
 }
 
-fn is_false(value: &bool) -> bool {
-    !value
-}
-
 impl FollowCall {
     /// The node report contained in the request; `None` if the follower is
     /// not a node.
--- a/crates/core/src/source_ring.rs
+++ b/crates/core/src/source_ring.rs
@@ -123,8 +123,8 @@
         }
         let since = *self.remote_since.get_or_insert(now);
         let is_failback_due = now.saturating_sub(since) >= FAILBACK_DELAY;
-        let is_local_due = is_failback_due && self.has_local(now);
-        if !is_local_due && !self.has_unknown(now) {
+        let is_local_due = is_failback_due && self.has_ranked(now, SourceRank::Local);
+        if !is_local_due && !self.has_ranked(now, SourceRank::Unknown) {
             return false;
         }
         self.remote_since = Some(now);
@@ -192,14 +192,9 @@
         self.current = best.map_or(0, |(at, _)| at);
     }
 
-    fn has_local(&self, now: Duration) -> bool {
+    fn has_ranked(&self, now: Duration, rank: SourceRank) -> bool {
         let mut sources = self.sources.iter();
-        sources.any(|source| self.rank(now, source) == SourceRank::Local)
-    }
-
-    fn has_unknown(&self, now: Duration) -> bool {
-        let mut sources = self.sources.iter();
-        sources.any(|source| self.rank(now, source) == SourceRank::Unknown)
+        sources.any(|source| self.rank(now, source) == rank)
     }
 
     fn rank(&self, now: Duration, source: &KnownSource) -> SourceRank {
--- a/crates/core/tests/control_roster.rs
+++ b/crates/core/tests/control_roster.rs
@@ -10,9 +10,9 @@
 use cowslip_core::change::ConfigChange;
 use cowslip_core::config_delta::ConfigDelta;
 use cowslip_core::config_digest::ConfigDigest;
+use cowslip_core::control_roster::ControlPlanner;
 use cowslip_core::control_roster::ControlRoster;
 use cowslip_core::control_roster::ControlSeat;
-use cowslip_core::control_roster::RosterPlan;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::control_state::ControlState;
 use cowslip_core::document::FleetDocument;
@@ -171,14 +171,14 @@
 
 /// Rosters that a plan proposes at the seconds given, with the instances live then.
 fn proposed(
-    plan: &mut RosterPlan,
+    planner: &mut ControlPlanner,
     current: &ControlRoster,
     live: &[ControlSeat],
     at: impl Iterator<Item = u64>,
 ) -> Vec<ControlRoster> {
     let mut proposed = Vec::new();
     for second in at {
-        proposed.extend(plan.update(secs(second), current, live));
+        proposed.extend(planner.plan(secs(second), current, live));
     }
     proposed
 }
@@ -186,12 +186,12 @@
 // Guards against a version for each instance of a fleet that starts.
 #[test]
 fn instances_that_start_together_get_their_seats_in_one_version() {
-    let mut plan = RosterPlan::default();
+    let mut planner = ControlPlanner::default();
     let mut proposals = Vec::new();
     for step in 0..20 {
         let now = Duration::from_millis(step * 100);
         let live = seats((step as usize + 1).min(10));
-        proposals.extend(plan.update(now, &ControlRoster::default(), &live));
+        proposals.extend(planner.plan(now, &ControlRoster::default(), &live));
     }
     let first = proposals.first().expect("a roster is proposed");
     assert_eq!(*first, roster(10));
@@ -201,17 +201,17 @@
 // nodes there are told to leave the instances they can reach.
 #[test]
 fn instances_that_are_cut_off_keep_their_seats() {
-    let mut plan = RosterPlan::default();
+    let mut planner = ControlPlanner::default();
     let live = &seats(10)[..6];
-    assert_eq!(proposed(&mut plan, &roster(10), live, 0..500), []);
+    assert_eq!(proposed(&mut planner, &roster(10), live, 0..500), []);
 }
 
 // Guards against a roster that keeps the addresses of replaced instances for ever.
 #[test]
 fn an_instance_that_stays_away_loses_its_seat() {
-    let mut plan = RosterPlan::default();
+    let mut planner = ControlPlanner::default();
     let live = &seats(10)[1..];
-    let proposals = proposed(&mut plan, &roster(10), live, 0..700);
+    let proposals = proposed(&mut planner, &roster(10), live, 0..700);
     let last = proposals.last().expect("a roster is proposed");
     assert_eq!(last.seats, live);
 }
@@ -220,13 +220,13 @@
 // new addresses again and again.
 #[test]
 fn replaced_instances_do_not_fill_the_roster() {
-    let mut plan = RosterPlan::default();
+    let mut planner = ControlPlanner::default();
     let mut current = roster(10);
     for round in 0..200 {
         let live: Vec<ControlSeat> = (round..round + 10).map(seat).collect();
         for second in 0..2 {
             let now = secs(round as u64 * 2 + second);
-            if let Some(planned) = plan.update(now, &current, &live) {
+            if let Some(planned) = planner.plan(now, &current, &live) {
                 current = planned;
             }
         }
@@ -238,11 +238,11 @@
 // Guards against a wildcard address in the roster, at which no node finds anybody.
 #[test]
 fn an_instance_that_listens_on_any_address_gets_no_seat() {
-    let mut plan = RosterPlan::default();
+    let mut planner = ControlPlanner::default();
     let mut unreachable = seat(1);
     unreachable.address = ([0, 0, 0, 0], 7_001).into();
     let live = [seat(0), unreachable];
-    let proposals = proposed(&mut plan, &ControlRoster::default(), &live, 0..3);
+    let proposals = proposed(&mut planner, &ControlRoster::default(), &live, 0..3);
     assert_eq!(proposals.first(), Some(&roster(1)));
 }
 
