--- a/crates/control/src/quarantine_task.rs
+++ b/crates/control/src/quarantine_task.rs
@@ -15,6 +15,7 @@
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
 use cowslip_core::crash_tally::CrashTally;
+use cowslip_core::crash_tally::RepeatedCrash;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::quarantine::QuarantineChange;
 use cowslip_core::quarantine::QuarantineEntry;
@@ -83,7 +84,9 @@
         if view.is_leading() {
             let now_ms = wall_clock::millis();
             for report in call.reports {
-                self.tally.record_report(now_ms, report);
+                let node = Arc::clone(&report.node);
+                let repeated = self.tally.record_report(now_ms, report);
+                self.log_repeated(&node, &repeated);
             }
             self.check().await;
             return;
@@ -94,6 +97,18 @@
         leader_forward::spawn(self.client.clone(), address, call, "crashes-failed");
     }
 
+    fn log_repeated(&self, node: &str, repeated: &[RepeatedCrash]) {
+        for RepeatedCrash { call, crashes } in repeated {
+            info!(
+                "event=crash-counted process=control instance={} node={node} fingerprint={} service={} route={} crashes={crashes}",
+                self.instance,
+                call.fingerprint,
+                call.service,
+                LogValue(&call.route)
+            );
+        }
+    }
+
     /// Proposes the changes that are due, if this instance leads.
     async fn check(&mut self) {
         let view = *self.agreement.leader.borrow();
--- a/crates/core/src/crash_suspects.rs
+++ b/crates/core/src/crash_suspects.rs
@@ -35,37 +35,96 @@
     pub route: Arc<str>,
 }
 
+/// How a call was doing when its server crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallState {
+    /// It had no answer yet.
+    InFlight,
+    /// Its connection had broken before an answer.
+    Broken,
+    /// Its caller had left, or it had run out of time.
+    Abandoned,
+}
+
+impl CallState {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InFlight => "in-flight",
+            Self::Broken => "broken",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
+/// A call that a crash cut, or that had ended without an answer shortly before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CutCall {
+    /// The call.
+    pub call: SuspectCall,
+    /// How it was doing.
+    pub state: CallState,
+    /// Time between its slot and its end, or the crash if it was in flight.
+    pub ran: Duration,
+    /// Time since the server last completed the same request; `None` if it is not
+    /// among the last [`COMPLETED_MAX`] calls.
+    pub completed_ago: Option<Duration>,
+}
+
+impl CutCall {
+    /// Whether the call may have caused the crash: it was at the server to the end,
+    /// and the server has not completed the same request lately.
+    pub fn is_suspect(&self) -> bool {
+        self.completed_ago.is_none() && self.state != CallState::Abandoned
+    }
+}
+
 /// Calls at one backend server that its crash would cast suspicion on.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
-    running: HashMap<CallTicket, SuspectCall>,
-    cut: VecDeque<(Duration, SuspectCall)>,
+    running: HashMap<CallTicket, RunningCall>,
+    ended: VecDeque<EndedCall>,
     completed: CompletedCalls,
 }
 
+#[derive(Debug)]
+struct RunningCall {
+    call: SuspectCall,
+    began: Duration,
+}
+
+#[derive(Debug)]
+struct EndedCall {
+    running: RunningCall,
+    state: CallState,
+    at: Duration,
+}
+
 impl CrashSuspects {
     /// Records that a call gets a slot.
-    pub fn begin(&mut self, ticket: CallTicket, call: SuspectCall) {
-        self.running.insert(ticket, call);
+    pub fn begin(&mut self, now: Duration, ticket: CallTicket, call: SuspectCall) {
+        let running = RunningCall { call, began: now };
+        self.running.insert(ticket, running);
     }
 
     /// Records that the server answered a call.
-    pub fn complete(&mut self, ticket: CallTicket) {
-        if let Some(call) = self.running.remove(&ticket) {
-            self.completed.record(call.fingerprint);
+    pub fn complete(&mut self, now: Duration, ticket: CallTicket) {
+        if let Some(running) = self.running.remove(&ticket) {
+            self.completed.record(now, running.call.fingerprint);
         }
     }
 
     /// Records that the connection of a call broke before an answer.
     pub fn cut(&mut self, now: Duration, ticket: CallTicket) {
-        if let Some(call) = self.running.remove(&ticket) {
-            self.cut.push_back((now, call));
-        }
-        self.forget_old(now);
+        self.end(now, ticket, CallState::Broken);
     }
 
-    /// Records that a call ended otherwise: it did not run, ran out of time, or its
-    /// caller disconnected.
+    /// Records that a call ran out of time, or that its caller left.
+    pub fn abandon(&mut self, now: Duration, ticket: CallTicket) {
+        self.end(now, ticket, CallState::Abandoned);
+    }
+
+    /// Records that a call did not run.
     pub fn forget(&mut self, ticket: CallTicket) {
         self.running.remove(&ticket);
     }
@@ -76,58 +135,83 @@
         self.completed = CompletedCalls::default();
     }
 
-    /// Returns the calls that may have caused a crash detected at `now`, each
-    /// fingerprint once.
-    pub fn crash(&mut self, now: Duration) -> Vec<SuspectCall> {
+    /// Returns the calls that a crash detected at `now` cut or that ended without an
+    /// answer shortly before it, each fingerprint once.
+    pub fn crash(&mut self, now: Duration) -> Vec<CutCall> {
         self.forget_old(now);
-        let cut = self.cut.drain(..).map(|(_, call)| call);
-        let running = self.running.drain().map(|(_, call)| call);
-        let mut suspects: Vec<SuspectCall> = Vec::new();
-        for call in cut.chain(running) {
-            let known = |known: &SuspectCall| known.fingerprint == call.fingerprint;
-            if self.completed.contains(&call.fingerprint) || suspects.iter().any(known) {
-                continue;
-            }
-            suspects.push(call);
+        let in_flight = self.running.drain().map(|(_, running)| EndedCall {
+            running,
+            state: CallState::InFlight,
+            at: now,
+        });
+        let mut calls: Vec<CutCall> = Vec::new();
+        for ended in self.ended.drain(..).chain(in_flight) {
+            let EndedCall { running, state, at } = ended;
+            let completed_at = self.completed.last(&running.call.fingerprint);
+            calls.push(CutCall {
+                ran: at.saturating_sub(running.began),
+                completed_ago: completed_at.map(|at| now.saturating_sub(at)),
+                call: running.call,
+                state,
+            });
         }
-        suspects.sort_by_key(|call| call.fingerprint);
-        suspects
+        calls.sort_by_key(|cut| (cut.call.fingerprint, cut.state, cut.ran));
+        calls.dedup_by_key(|cut| cut.call.fingerprint);
+        calls
+    }
+
+    fn end(&mut self, now: Duration, ticket: CallTicket, state: CallState) {
+        if let Some(running) = self.running.remove(&ticket) {
+            let at = now;
+            self.ended.push_back(EndedCall { running, state, at });
+        }
+        self.forget_old(now);
     }
 
     fn forget_old(&mut self, now: Duration) {
         let is_old = |at: &Duration| now.saturating_sub(*at) > CUT_WINDOW;
-        while self.cut.front().is_some_and(|(at, _)| is_old(at)) {
-            self.cut.pop_front();
+        while self.ended.front().is_some_and(|ended| is_old(&ended.at)) {
+            self.ended.pop_front();
         }
     }
 }
 
-/// Fingerprints of the last [`COMPLETED_MAX`] calls that the server completed.
+/// The last [`COMPLETED_MAX`] calls that the server completed.
 #[derive(Debug, Default)]
 struct CompletedCalls {
     order: VecDeque<CallFingerprint>,
-    counts: HashMap<CallFingerprint, u32>,
+    requests: HashMap<CallFingerprint, CompletedRequest>,
+}
+
+#[derive(Debug, Default)]
+struct CompletedRequest {
+    calls: u32,
+    last_at: Duration,
 }
 
 impl CompletedCalls {
-    fn record(&mut self, fingerprint: CallFingerprint) {
+    fn record(&mut self, now: Duration, fingerprint: CallFingerprint) {
         self.order.push_back(fingerprint);
-        *self.counts.entry(fingerprint).or_default() += 1;
+        let request = self.requests.entry(fingerprint).or_default();
+        request.calls += 1;
+        request.last_at = now;
         if self.order.len() <= COMPLETED_MAX {
             return;
         }
         let Some(oldest) = self.order.pop_front() else {
             return;
         };
-        if let Some(count) = self.counts.get_mut(&oldest) {
-            *count -= 1;
-            if *count == 0 {
-                self.counts.remove(&oldest);
+        if let Some(request) = self.requests.get_mut(&oldest) {
+            request.calls -= 1;
+            if request.calls == 0 {
+                self.requests.remove(&oldest);
             }
         }
     }
 
-    fn contains(&self, fingerprint: &CallFingerprint) -> bool {
-        self.counts.contains_key(fingerprint)
+    /// When the request was last completed.
+    fn last(&self, fingerprint: &CallFingerprint) -> Option<Duration> {
+        let request = self.requests.get(fingerprint)?;
+        Some(request.last_at)
     }
 }
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -6,6 +6,7 @@
 //! the guilty one apart is that no server completes it and that servers crash under it
 //! again and again.
 
+use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -60,6 +61,15 @@
     crashes: BTreeMap<(Arc<str>, u64), TalliedCrash>,
 }
 
+/// A request under which more than one server has crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RepeatedCrash {
+    /// The request.
+    pub call: SuspectCall,
+    /// Crashes under it so far.
+    pub crashes: usize,
+}
+
 #[derive(Debug)]
 struct TalliedCrash {
     /// Leader's wall clock, in milliseconds since the Unix epoch.
@@ -69,16 +79,33 @@
 
 impl CrashTally {
     /// Adds the crashes of a report received at `now_ms` by the leader's wall clock.
-    pub fn record_report(&mut self, now_ms: u64, report: CrashReport) {
+    /// Returns the requests of new crashes under which servers have crashed before.
+    pub fn record_report(
+        &mut self,
+        now_ms: u64,
+        report: CrashReport,
+    ) -> Vec<RepeatedCrash> {
+        let mut repeated = Vec::new();
         for mut crash in report.crashes.into_iter().take(NODE_CRASHES_MAX) {
             crash.calls.truncate(CRASH_CALLS_MAX);
             let at_ms = now_ms.saturating_sub(crash.age_ms);
             let key = (Arc::clone(&report.node), crash.number);
-            self.crashes.entry(key).or_insert(TalliedCrash {
+            let Entry::Vacant(vacant) = self.crashes.entry(key) else {
+                continue;
+            };
+            let calls = crash.calls.clone();
+            vacant.insert(TalliedCrash {
                 at_ms,
                 calls: crash.calls,
             });
+            for call in calls {
+                let crashes = self.crashes_under(&call.fingerprint, None);
+                if crashes > 1 {
+                    repeated.push(RepeatedCrash { call, crashes });
+                }
+            }
         }
+        repeated
     }
 
     /// Returns the changes that are due at `now_ms`: quarantines to start, to end and
--- a/crates/core/tests/crash_suspects.rs
+++ b/crates/core/tests/crash_suspects.rs
@@ -4,7 +4,9 @@
 
 use cowslip_core::call_fingerprint::CallFingerprint;
 use cowslip_core::call_fingerprint::RequestParts;
+use cowslip_core::crash_suspects::CallState;
 use cowslip_core::crash_suspects::CrashSuspects;
+use cowslip_core::crash_suspects::CutCall;
 use cowslip_core::crash_suspects::SuspectCall;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -28,20 +30,28 @@
     }
 }
 
+/// Calls that a crash detected at `now` casts suspicion on.
+fn suspects_of(suspects: &mut CrashSuspects, now: Duration) -> Vec<SuspectCall> {
+    let cut = suspects.crash(now).into_iter();
+    cut.filter(CutCall::is_suspect)
+        .map(|cut| cut.call)
+        .collect()
+}
+
 #[test]
 fn a_crash_casts_suspicion_on_the_calls_in_flight() {
     let mut suspects = CrashSuspects::default();
-    suspects.begin(1, call("/harvest/1"));
-    suspects.begin(2, call("/harvest/2"));
-    suspects.begin(3, call("/harvest/3"));
-    suspects.begin(4, call("/harvest/4"));
+    suspects.begin(NOW, 1, call("/harvest/1"));
+    suspects.begin(NOW, 2, call("/harvest/2"));
+    suspects.begin(NOW, 3, call("/harvest/3"));
+    suspects.begin(NOW, 4, call("/harvest/4"));
     suspects.cut(NOW, 1);
-    suspects.complete(2);
+    suspects.complete(NOW, 2);
     suspects.forget(3);
     let mut expected = vec![call("/harvest/1"), call("/harvest/4")];
     expected.sort_by_key(|call| call.fingerprint);
-    assert_eq!(suspects.crash(NOW), expected);
-    assert_eq!(suspects.crash(NOW), Vec::new());
+    assert_eq!(suspects_of(&mut suspects, NOW), expected);
+    assert_eq!(suspects_of(&mut suspects, NOW), Vec::new());
 }
 
 // Guards against blaming the path that every caller asks for: it is in flight at
@@ -49,24 +59,45 @@
 #[test]
 fn a_request_that_servers_complete_is_no_suspect() {
     let mut suspects = CrashSuspects::default();
-    suspects.begin(1, call("/prices"));
-    suspects.complete(1);
-    suspects.begin(2, call("/prices"));
-    suspects.begin(3, call("/harvest/9"));
-    assert_eq!(suspects.crash(NOW), vec![call("/harvest/9")]);
+    suspects.begin(NOW, 1, call("/prices"));
+    suspects.complete(NOW, 1);
+    suspects.begin(NOW, 2, call("/prices"));
+    suspects.begin(NOW, 3, call("/harvest/9"));
+    assert_eq!(suspects_of(&mut suspects, NOW), vec![call("/harvest/9")]);
 
     // The next version may crash on what the last one completed.
     suspects.begin_version();
-    suspects.begin(4, call("/prices"));
-    assert_eq!(suspects.crash(NOW), vec![call("/prices")]);
+    suspects.begin(NOW, 4, call("/prices"));
+    assert_eq!(suspects_of(&mut suspects, NOW), vec![call("/prices")]);
 }
 
 #[test]
 fn a_connection_that_broke_long_before_a_crash_says_nothing() {
     let mut suspects = CrashSuspects::default();
-    suspects.begin(1, call("/harvest/1"));
+    suspects.begin(NOW, 1, call("/harvest/1"));
     suspects.cut(NOW, 1);
-    assert_eq!(suspects.crash(NOW + Duration::from_secs(3)), Vec::new());
+    assert_eq!(
+        suspects_of(&mut suspects, NOW + Duration::from_secs(3)),
+        Vec::new()
+    );
+}
+
+#[test]
+fn a_cut_call_states_how_it_ended() {
+    let mut suspects = CrashSuspects::default();
+    let at = |ms| NOW + Duration::from_millis(ms);
+    suspects.begin(at(0), 1, call("/harvest/1"));
+    suspects.complete(at(10), 1);
+    suspects.begin(at(20), 2, call("/harvest/1"));
+    suspects.abandon(at(50), 2);
+    suspects.begin(at(30), 3, call("/harvest/1"));
+    let cut = CutCall {
+        call: call("/harvest/1"),
+        state: CallState::InFlight,
+        ran: Duration::from_millis(70),
+        completed_ago: Some(Duration::from_millis(90)),
+    };
+    assert_eq!(suspects.crash(at(100)), [cut]);
 }
 
 #[test]
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use cowslip_core::crash_suspects::CrashSuspects;
+use cowslip_core::crash_suspects::CutCall;
 use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -245,12 +246,11 @@
                 }
                 match outcome {
                     SlotOutcome::Answered(_) | SlotOutcome::Failed => {
-                        self.suspects.complete(ticket);
+                        self.suspects.complete(now, ticket);
                     }
                     SlotOutcome::Cut => self.suspects.cut(now, ticket),
-                    SlotOutcome::Shed | SlotOutcome::Abandoned => {
-                        self.suspects.forget(ticket);
-                    }
+                    SlotOutcome::Abandoned => self.suspects.abandon(now, ticket),
+                    SlotOutcome::Shed => self.suspects.forget(ticket),
                 }
                 let actions = self.gate.end(now, ticket, outcome);
                 self.apply(actions);
@@ -518,15 +518,12 @@
             self.endpoint.instance,
             self.gate.cold().crashes()
         );
-        let suspects = self.suspects.crash(now);
-        for suspect in &suspects {
-            info!(
-                "event=call-cut-by-crash process=node instance={} fingerprint={} service={} route={}",
-                self.endpoint.instance,
-                suspect.fingerprint,
-                suspect.service,
-                LogValue(&suspect.route)
-            );
+        let mut suspects = Vec::new();
+        for cut in self.suspects.crash(now) {
+            self.log_cut_call(&cut);
+            if cut.is_suspect() {
+                suspects.push(cut.call);
+            }
         }
         // A server whose calls are limited while it is cold crashes when it gets too
         // many, whatever they are.
@@ -536,6 +533,21 @@
         }
     }
 
+    fn log_cut_call(&self, cut: &CutCall) {
+        let completed_ago = cut.completed_ago.map(|ago| ago.as_millis());
+        info!(
+            "event=call-cut-by-crash process=node instance={} fingerprint={} service={} route={} state={} ran_ms={} completed_ago_ms={} suspect={}",
+            self.endpoint.instance,
+            cut.call.fingerprint,
+            cut.call.service,
+            LogValue(&cut.call.route),
+            cut.state.as_str(),
+            cut.ran.as_millis(),
+            completed_ago.map_or("-".to_owned(), |ago| ago.to_string()),
+            cut.is_suspect()
+        );
+    }
+
     /// Logs the start and the end of the time in which calls to the server are
     /// limited.
     fn log_cold(&mut self, now: Duration) {
@@ -605,7 +617,8 @@
                 continue;
             };
             if answer.is_ok() {
-                self.suspects.begin(ticket, waiter.suspect);
+                let now = self.started.elapsed();
+                self.suspects.begin(now, ticket, waiter.suspect);
             }
             // A caller that stopped waiting sends `ReleaseSlot` itself.
             let _ = waiter.reply.send(answer);
