--- a/crates/cli/tests/calls/crashing_server.rs
+++ b/crates/cli/tests/calls/crashing_server.rs
@@ -1,7 +1,9 @@
-//! A backend server that ends when it begins a certain request, and starts again
-//! under another run and address.
+//! A backend server that ends when it runs a certain request, and starts again under
+//! another run and address.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,28 +30,42 @@
 /// The part of a path that makes the server crash.
 pub const CRASHING_PATH: &str = "crashes-servers";
 
-/// Crashes of all servers of a test.
-pub type CrashTimes = Rc<RefCell<Vec<Instant>>>;
+/// The part of a path that makes the server crash once its data is bad.
+pub const STALE_PATH: &str = "crashes-later";
+
+/// What the servers of a test share.
+#[derive(Clone, Default)]
+pub struct ServerFaults {
+    /// Crashes of all servers.
+    pub crashes: Rc<RefCell<Vec<Instant>>>,
+    /// Whether requests with [`STALE_PATH`] crash servers.
+    pub data_is_bad: Rc<Cell<bool>>,
+    /// Servers that have answered a request with [`STALE_PATH`], by number.
+    pub completed_by: Rc<RefCell<BTreeSet<usize>>>,
+    /// How long servers say they are cold after their start, if they say so.
+    pub cold_ms: Option<u64>,
+}
 
 /// Starts a server of the service `tested` beside the node whose address for its
 /// server is `node`. It runs until the test ends.
-pub fn spawn(node: SocketAddr, number: usize, crashes: &CrashTimes) {
-    let crashes = Rc::clone(crashes);
+pub fn spawn(node: SocketAddr, number: usize, faults: &ServerFaults) {
+    let faults = faults.clone();
     actix_rt::spawn(async move {
         for run in 0.. {
-            run_once(node, &format!("tested-{number}-{run}")).await;
-            crashes.borrow_mut().push(Instant::now());
+            run_once(node, number, run, &faults).await;
+            faults.crashes.borrow_mut().push(Instant::now());
             actix_rt::time::sleep(RESTART_TIME).await;
         }
     });
 }
 
 /// Serves until a request crashes the server.
-async fn run_once(node: SocketAddr, run: &str) {
+async fn run_once(node: SocketAddr, number: usize, run: usize, faults: &ServerFaults) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let socket = TcpListener::bind(any).await.expect("a free port");
     let address = socket.local_addr().expect("its address");
-    let announcing = announce(node, address, run.to_owned());
+    let run = format!("tested-{number}-{run}");
+    let announcing = announce(node, address, run, faults.cold_ms);
     actix_rt::spawn(announcing);
     let (crash, mut crashed) = mpsc::unbounded_channel();
     let mut connections: Vec<JoinHandle<()>> = Vec::new();
@@ -57,7 +73,8 @@
         tokio::select! {
             accepted = socket.accept() => {
                 let (stream, _) = accepted.expect("a connection");
-                connections.push(actix_rt::spawn(serve(stream, crash.clone())));
+                let serving = serve(stream, number, crash.clone(), faults.clone());
+                connections.push(actix_rt::spawn(serving));
             }
             _ = crashed.recv() => break,
         }
@@ -68,9 +85,14 @@
     }
 }
 
-async fn announce(node: SocketAddr, address: SocketAddr, run: String) {
+async fn announce(
+    node: SocketAddr,
+    address: SocketAddr,
+    run: String,
+    cold_ms: Option<u64>,
+) {
     let body = AnnounceBody {
-        cold_ms: None,
+        cold_ms,
         run: Some(run.into()),
         service: "tested".into(),
         version: "v1".into(),
@@ -83,7 +105,12 @@
     assert!(response.status().is_success());
 }
 
-async fn serve(mut stream: TcpStream, crash: mpsc::UnboundedSender<()>) {
+async fn serve(
+    mut stream: TcpStream,
+    number: usize,
+    crash: mpsc::UnboundedSender<()>,
+    faults: ServerFaults,
+) {
     loop {
         let mut head = Vec::new();
         while !head.windows(4).any(|end| end == b"\r\n\r\n") {
@@ -93,12 +120,17 @@
             }
         }
         actix_rt::time::sleep(WORK_TIME).await;
-        if String::from_utf8_lossy(&head).contains(CRASHING_PATH) {
+        let head = String::from_utf8_lossy(&head);
+        let stale = head.contains(STALE_PATH);
+        if stale && faults.data_is_bad.get() || head.contains(CRASHING_PATH) {
             let _ = crash.send(());
             return;
         }
         if stream.write_all(RESPONSE).await.is_err() {
             return;
         }
+        if stale {
+            faults.completed_by.borrow_mut().insert(number);
+        }
     }
 }
--- a/crates/cli/tests/calls/fleet_calls.rs
+++ b/crates/cli/tests/calls/fleet_calls.rs
@@ -106,12 +106,12 @@
 
 /// Returns the deployment's document with an additional service, `tested`, whose
 /// servers the tests announce.
-fn document(plan: &DeploymentPlan) -> FleetDocument {
+fn document(plan: &DeploymentPlan, spec: &ServiceSpec) -> FleetDocument {
     let mut document = plan.document();
     let spec = ServiceSpec {
         version: "v1".into(),
         candidate: None,
-        ..ServiceSpec::default()
+        ..spec.clone()
     };
     document.services.insert("tested".into(), spec);
     document.routes.push(Arc::new(RouteSpec {
@@ -158,10 +158,15 @@
 /// Starts a fleet and waits until its document is in force and every node can
 /// complete a call with an idempotency key.
 pub async fn fleet(folder: &Path) -> LocalFleet {
+    fleet_with(folder, &ServiceSpec::default()).await
+}
+
+/// Starts a fleet as [`fleet`] does, with `spec` for the service `tested`.
+pub async fn fleet_with(folder: &Path, spec: &ServiceSpec) -> LocalFleet {
     let plan = DeploymentPlan::named("sidertre").expect("a known deployment");
     let fleet = LocalFleet::spawn(&plan, folder).await.expect("a fleet");
     let operator = fleet.operator();
-    let change = ConfigChange::Apply(document(&plan));
+    let change = ConfigChange::Apply(document(&plan, spec));
     let started = Instant::now();
     while let Err(problem) = operator
         .change(new_request_id(), None, change.clone())
