Crashes of cold servers count against a request, half

What callers saw: where the document limits calls to cold servers, a request that crashes each server right after its start went on doing so, and its service stayed away.

Cause: a crash of a cold server reported no call at all, because such a server may also crash of too many calls. Each crash makes the next run cold, so that nothing was ever counted from the second crash of a server on.

Leaders of earlier builds do not read these calls.

--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -7,8 +7,14 @@
 
 use std::time::Duration;
 
-/// Crashes under a request from which on it is taken to cause them.
-const CRASHES_MIN: usize = 3;
+/// Weight of the crashes under a request from which on it is taken to cause them: three
+/// crashes of warm servers.
+const WEIGHT_MIN: usize = 3 * WARM_WEIGHT;
+
+const WARM_WEIGHT: usize = 2;
+
+/// A cold server may also crash because it gets more calls than it tolerates.
+const COLD_WEIGHT: usize = 1;
 
 /// Time after a crash from which on a call is taken to have begun later. Reports of
 /// crashes at the same time do not reach the leader equally fast.
@@ -23,6 +29,8 @@
     pub at: Duration,
     /// When the server had last completed the same request, if it is known.
     pub completed: Option<Duration>,
+    /// Whether the server was cold, and its calls limited for it.
+    pub cold: bool,
 }
 
 /// What speaks against a request.
@@ -30,6 +38,8 @@
 pub struct CrashEvidence {
     /// Crashes since servers last completed the request.
     pub crashes: usize,
+    /// How much these crashes say.
+    weight: usize,
     /// Whether servers have completed it at all.
     pub completed: bool,
     /// Whether it began again after one of these crashes and another followed.
@@ -42,12 +52,17 @@
         let completed = crashes.iter().filter_map(|crash| crash.completed).max();
         let is_later = |at| completed.is_none_or(|completed| at > completed);
         let later = crashes.iter().filter(|crash| is_later(crash.at));
+        let weights = later.clone().map(|crash| match crash.cold {
+            true => COLD_WEIGHT,
+            false => WARM_WEIGHT,
+        });
         let first = later.clone().map(|crash| crash.at).min();
         let began = later.clone().map(|crash| crash.began).max();
         let repeated = first
             .zip(began)
             .is_some_and(|(first, began)| began > first + APART_MIN);
         Self {
+            weight: weights.sum(),
             crashes: later.count(),
             completed: completed.is_some(),
             repeated,
@@ -60,6 +75,11 @@
     /// servers that end at the same time, because something else failed, all have it
     /// in flight if many callers send it.
     pub fn is_conclusive(&self) -> bool {
-        self.crashes >= CRASHES_MIN && (self.repeated || !self.completed)
+        self.weight >= WEIGHT_MIN && (self.repeated || !self.completed)
+    }
+
+    /// Whether a request that was taken to cause crashes before causes them again.
+    pub fn is_relapse(&self) -> bool {
+        self.weight >= WARM_WEIGHT && !self.completed
     }
 }
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -41,12 +41,16 @@
     pub number: u64,
     /// Time since the crash when the report was sent, in milliseconds.
     pub age_ms: u64,
-    /// Calls that the crash cut and that the server had not completed before.
+    /// Calls that the crash of a warm server cut and that it had not completed lately.
     pub calls: Vec<ReportedCall>,
-    /// Calls that the crash cut and that the server had completed lately. Earlier
-    /// builds take every call of the other list for a suspect.
+    /// Calls that the crash cut, but that say less: the server had completed the same
+    /// request lately, or was cold. Earlier builds take every call of the other list
+    /// for a suspect.
     #[serde(default)]
-    pub completed_calls: Vec<ReportedCall>,
+    pub doubtful_calls: Vec<ReportedCall>,
+    /// Whether the server was cold, and its calls limited for it.
+    #[serde(default)]
+    pub cold: bool,
 }
 
 /// A call that a crash cut. Times are before the crash, in milliseconds.
@@ -125,6 +129,7 @@
     /// Time since the start of the leader's process.
     at: Duration,
     calls: Vec<ReportedCall>,
+    cold: bool,
 }
 
 impl TalliedCrash {
@@ -139,6 +144,7 @@
             began: before(call.began_ms),
             at: before(call.broke_ms),
             completed: call.completed_ms.map(before),
+            cold: self.cold,
         }
     }
 }
@@ -158,7 +164,7 @@
                 continue;
             };
             let mut calls = crash.calls;
-            calls.extend(crash.completed_calls);
+            calls.extend(crash.doubtful_calls);
             calls.truncate(CRASH_CALLS_MAX);
             vacant.insert(TalliedCrash {
                 at_ms: now.wall_ms.saturating_sub(crash.age_ms),
@@ -166,6 +172,7 @@
                     .elapsed
                     .saturating_sub(Duration::from_millis(crash.age_ms)),
                 calls: calls.clone(),
+                cold: crash.cold,
             });
             for call in calls {
                 let crashes = self.crashes_under(&call.fingerprint, None);
@@ -221,7 +228,7 @@
             let ended_ms = known.map(|entry| entry.until_ms);
             let crashes = self.crashes_under(&call.fingerprint, ended_ms);
             let evidence = CrashEvidence::of(&crashes);
-            let relapsed = known.is_some() && evidence.crashes > 0 && !evidence.completed;
+            let relapsed = known.is_some() && evidence.is_relapse();
             if !relapsed && !evidence.is_conclusive() {
                 continue;
             }
--- a/crates/core/tests/quarantines.rs
+++ b/crates/core/tests/quarantines.rs
@@ -54,7 +54,8 @@
         number,
         age_ms: 0,
         calls: paths.iter().map(|path| call(path)).collect(),
-        completed_calls: Vec::new(),
+        doubtful_calls: Vec::new(),
+        cold: false,
     }
 }
 
@@ -65,7 +66,7 @@
         ..call(path)
     };
     CrashRecord {
-        completed_calls: vec![cut],
+        doubtful_calls: vec![cut],
         ..crash(number, &[])
     }
 }
@@ -143,6 +144,24 @@
     assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
 }
 
+// Guards against a request that is never refused because each server crashes while it is
+// cold, and against refusing one under which cold servers crash that get too many calls.
+#[test]
+fn crashes_of_cold_servers_count_half() {
+    let mut tally = CrashTally::default();
+    let mut table = QuarantineTable::new();
+    for number in 0..6 {
+        assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
+        let crash = CrashRecord {
+            cold: true,
+            ..crash(number, &["/bad"])
+        };
+        tally.record_report(leader_time(NOW_MS), report("node", vec![crash]));
+    }
+    apply_due(&mut tally, NOW_MS, &mut table);
+    assert_eq!(blocked(&table), vec![call("/bad").fingerprint]);
+}
+
 // Guards against a request that is never refused because servers completed it before its
 // data went bad.
 #[test]
@@ -415,7 +434,7 @@
         for (number, (after_ms, completed_ms, began_ms)) in crashes.into_iter().enumerate() {
             let now_ms = NOW_MS + after_ms;
             let mut crash = crash_after(completed_ms, number as u64, "/prices");
-            crash.completed_calls[0].began_ms = began_ms;
+            crash.doubtful_calls[0].began_ms = began_ms;
             tally.record_report(leader_time(now_ms), report("node", vec![crash]));
             apply_due(&mut tally, now_ms, &mut table);
             prop_assert!(table.is_empty());
--- a/crates/node/src/crash_task.rs
+++ b/crates/node/src/crash_task.rs
@@ -32,8 +32,14 @@
 /// Time after a failed report at which it is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Calls that one crash cut and that may have caused it.
-pub type CutCalls = Vec<CutCall>;
+/// A crash of the backend server beside the node.
+#[derive(Clone, Debug)]
+pub struct ServerCrash {
+    /// Calls that it cut and that may have caused it.
+    pub calls: Vec<CutCall>,
+    /// Whether the server was cold, and its calls limited for it.
+    pub cold: bool,
+}
 
 struct CrashReporter {
     node: Arc<str>,
@@ -47,18 +53,20 @@
     number: u64,
     at: BootInstant,
     calls: Vec<ReportedCall>,
+    cold: bool,
 }
 
 impl KeptCrash {
     fn record(&self) -> CrashRecord {
         let calls = self.calls.iter().cloned();
-        let (completed_calls, calls) =
-            calls.partition(|call| call.completed_ms.is_some());
+        let (doubtful_calls, calls) =
+            calls.partition(|call| self.cold || call.completed_ms.is_some());
         CrashRecord {
             number: self.number,
             age_ms: self.at.elapsed().as_millis() as u64,
             calls,
-            completed_calls,
+            doubtful_calls,
+            cold: self.cold,
         }
     }
 }
@@ -68,7 +76,7 @@
     node: Arc<str>,
     client: PeerClient,
     control: ControlWatch,
-    crashes: mpsc::UnboundedReceiver<CutCalls>,
+    crashes: mpsc::UnboundedReceiver<ServerCrash>,
 ) {
     let reporter = CrashReporter {
         node,
@@ -92,7 +100,7 @@
 }
 
 impl CrashReporter {
-    async fn run(mut self, mut crashes: mpsc::UnboundedReceiver<CutCalls>) {
+    async fn run(mut self, mut crashes: mpsc::UnboundedReceiver<ServerCrash>) {
         let mut pause = REPEAT_INTERVAL;
         loop {
             let received = if self.crashes.is_empty() {
@@ -104,11 +112,11 @@
             let Some(received) = received else {
                 return;
             };
-            if let Some(calls) = received {
-                self.keep(calls);
+            if let Some(crash) = received {
+                self.keep(crash);
             }
-            while let Ok(calls) = crashes.try_recv() {
-                self.keep(calls);
+            while let Ok(crash) = crashes.try_recv() {
+                self.keep(crash);
             }
             self.forget_old();
             pause = match self.report().await {
@@ -119,15 +127,16 @@
         }
     }
 
-    fn keep(&mut self, calls: CutCalls) {
-        if calls.is_empty() {
+    fn keep(&mut self, crash: ServerCrash) {
+        if crash.calls.is_empty() {
             return;
         }
         self.last_number += 1;
         self.crashes.push_back(KeptCrash {
             number: self.last_number,
             at: BootInstant::now(),
-            calls: calls.into_iter().map(ReportedCall::from).collect(),
+            calls: crash.calls.into_iter().map(ReportedCall::from).collect(),
+            cold: crash.cold,
         });
         if self.crashes.len() > NODE_CRASHES_MAX {
             self.crashes.pop_front();
--- a/crates/node/src/gate_messages.rs
+++ b/crates/node/src/gate_messages.rs
@@ -27,7 +27,7 @@
 use cowslip_core::server_statement::ServerStatement;
 use cowslip_wire::boot_instant::BootInstant;
 
-use crate::crash_task::CutCalls;
+use crate::crash_task::ServerCrash;
 use crate::server_probe::ProbeResult;
 
 /// Identity and addresses of the node's own endpoint.
@@ -215,6 +215,6 @@
 pub struct GateOutputs {
     /// Each change of the endpoint's record.
     pub records: mpsc::UnboundedSender<EndpointRecord>,
-    /// Calls that a crash of the backend server cut.
-    pub crashes: mpsc::UnboundedSender<CutCalls>,
+    /// Each crash of the backend server.
+    pub crashes: mpsc::UnboundedSender<ServerCrash>,
 }
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -34,6 +34,7 @@
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
+use crate::crash_task::ServerCrash;
 use crate::gate_messages::AnnounceAnswer;
 use crate::gate_messages::AnswerStatement;
 use crate::gate_messages::FoundRun;
@@ -525,12 +526,11 @@
                 suspects.push(cut);
             }
         }
-        // A server whose calls are limited while it is cold crashes when it gets too
-        // many, whatever they are.
-        if !cold {
-            // The reporter ends only with the node.
-            let _ = self.outputs.crashes.send(suspects);
-        }
+        // The reporter ends only with the node.
+        let _ = self.outputs.crashes.send(ServerCrash {
+            calls: suspects,
+            cold,
+        });
     }
 
     fn log_cut_call(&self, cut: &CutCall) {
--- a/crates/node/tests/control_watch.rs
+++ b/crates/node/tests/control_watch.rs
@@ -10,6 +10,7 @@
 use cowslip_core::crash_suspects::CutCall;
 use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_node::crash_task;
+use cowslip_node::crash_task::ServerCrash;
 use cowslip_node::follow_task;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::crash_messages::CrashCall;
@@ -66,7 +67,11 @@
         records
             .send(endpoint_record("records-1"))
             .expect("the task runs");
-        crashes.send(vec![cut_call()]).expect("the task runs");
+        let crash = ServerCrash {
+            calls: vec![cut_call()],
+            cold: false,
+        };
+        crashes.send(crash).expect("the task runs");
         let both = [ReportCall::PATH, CrashCall::PATH];
         wait_until(TIMEOUT, || both.iter().all(|path| old.was_asked(path))).await;
         current.send_replace(new.address());
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -62,7 +62,7 @@
                 number: 7,
                 age_ms: 20,
                 calls: Vec::new(),
-                completed_calls: vec![ReportedCall {
+                doubtful_calls: vec![ReportedCall {
                     fingerprint: CallFingerprint::of(&parts),
                     service: "records".into(),
                     route: "/records".into(),
@@ -70,6 +70,7 @@
                     broke_ms: 1,
                     completed_ms: Some(400),
                 }],
+                cold: true,
             }],
         }],
     }
