Calls that were given up shortly before a crash are suspects

Cause: when a caller leaves or its time runs out, the node forgot the call, though the server may go on with it and crash under it.

Change: the last 16 calls that were given up in the two seconds before a crash is found are reported as well. Something else may have caused the crash, so it counts half, as that of a cold server does.

--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 /// Weight of the crashes under a request from which on it is taken to cause them: three
-/// crashes of warm servers.
-const WEIGHT_MIN: usize = 3 * WARM_WEIGHT;
+/// crashes that it was in flight at.
+const WEIGHT_MIN: usize = 3 * FULL_WEIGHT;
 
-const WARM_WEIGHT: usize = 2;
+/// Weight of a crash that the request was in flight at.
+const FULL_WEIGHT: usize = 2;
 
-/// A cold server may also crash because it gets more calls than it tolerates.
-const COLD_WEIGHT: usize = 1;
+/// Weight of a crash that something else may well have caused.
+const DOUBTFUL_WEIGHT: usize = 1;
 
 /// Time after a crash from which on a call is taken to have begun later. Reports of
 /// crashes at the same time do not reach the leader equally fast.
@@ -25,12 +26,13 @@
 pub struct RequestCrash {
     /// When the request got its slot.
     pub began: Duration,
-    /// When the crash cut it.
+    /// When the crash cut it, or was found.
     pub at: Duration,
     /// When the server had last completed the same request, if it is known.
     pub completed: Option<Duration>,
-    /// Whether the server was cold, and its calls limited for it.
-    pub cold: bool,
+    /// Whether something else may well have caused the crash: the server was cold and
+    /// may have got too many calls, or the request had been given up shortly before.
+    pub doubtful: bool,
 }
 
 /// What speaks against a request.
@@ -52,9 +54,9 @@
         let completed = crashes.iter().filter_map(|crash| crash.completed).max();
         let is_later = |at| completed.is_none_or(|completed| at > completed);
         let later = crashes.iter().filter(|crash| is_later(crash.at));
-        let weights = later.clone().map(|crash| match crash.cold {
-            true => COLD_WEIGHT,
-            false => WARM_WEIGHT,
+        let weights = later.clone().map(|crash| match crash.doubtful {
+            true => DOUBTFUL_WEIGHT,
+            false => FULL_WEIGHT,
         });
         let first = later.clone().map(|crash| crash.at).min();
         let began = later.clone().map(|crash| crash.began).max();
@@ -80,6 +82,6 @@
 
     /// Whether a request that was taken to cause crashes before causes them again.
     pub fn is_relapse(&self) -> bool {
-        self.weight >= WARM_WEIGHT && !self.completed
+        self.weight >= FULL_WEIGHT && !self.completed
     }
 }
--- a/crates/core/src/crash_suspects.rs
+++ b/crates/core/src/crash_suspects.rs
@@ -20,6 +20,10 @@
 /// nothing listens at the server's address, or another run of it reports.
 const CUT_WINDOW: Duration = Duration::from_secs(2);
 
+/// Largest number of calls that were given up and count as suspects, the latest ones. An
+/// overloaded server has many of them.
+const ABANDONED_MAX: usize = 16;
+
 /// Number of completed calls that are remembered, so that a request which many callers
 /// send is acquitted of the crashes that it is in flight at.
 const COMPLETED_MAX: usize = 1_024;
@@ -73,13 +77,6 @@
     pub completed_ago: Option<Duration>,
 }
 
-impl CutCall {
-    /// Whether the call may have caused the crash: it was at the server to the end.
-    pub fn is_suspect(&self) -> bool {
-        self.state != CallState::Abandoned
-    }
-}
-
 /// Calls at one backend server that its crash would cast suspicion on.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
@@ -137,7 +134,8 @@
     }
 
     /// Returns the calls that a crash detected at `now` cut or that ended without an
-    /// answer shortly before it; of the same request only the last to begin.
+    /// answer shortly before it; of the same request only the last to begin that was not
+    /// given up, if there is one.
     pub fn crash(&mut self, now: Duration) -> Vec<CutCall> {
         self.forget_old(now);
         let in_flight = self.running.drain().map(|(_, running)| EndedCall {
@@ -161,7 +159,10 @@
                 state,
             });
         }
-        calls.sort_by_key(|cut| (cut.call.fingerprint, !cut.is_suspect(), cut.began_ago));
+        calls.sort_by_key(|cut| {
+            let abandoned = cut.state == CallState::Abandoned;
+            (cut.call.fingerprint, abandoned, cut.began_ago)
+        });
         calls.dedup_by_key(|cut| cut.call.fingerprint);
         calls
     }
@@ -172,6 +173,18 @@
             self.ended.push_back(EndedCall { running, state, at });
         }
         self.forget_old(now);
+        self.limit_abandoned();
+    }
+
+    fn limit_abandoned(&mut self) {
+        let is_abandoned = |ended: &EndedCall| ended.state == CallState::Abandoned;
+        let abandoned = self.ended.iter().filter(|ended| is_abandoned(ended));
+        if abandoned.count() <= ABANDONED_MAX {
+            return;
+        }
+        if let Some(oldest) = self.ended.iter().position(is_abandoned) {
+            self.ended.remove(oldest);
+        }
     }
 
     fn forget_old(&mut self, now: Duration) {
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -18,6 +18,7 @@
 use crate::call_fingerprint::CallFingerprint;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::RequestCrash;
+use crate::crash_suspects::CallState;
 use crate::crash_suspects::CutCall;
 use crate::quarantine::QuarantineChange;
 use crate::quarantine::QuarantineTable;
@@ -43,9 +44,9 @@
     pub age_ms: u64,
     /// Calls that the crash of a warm server cut and that it had not completed lately.
     pub calls: Vec<ReportedCall>,
-    /// Calls that the crash cut, but that say less: the server had completed the same
-    /// request lately, or was cold. Earlier builds take every call of the other list
-    /// for a suspect.
+    /// Calls that say less: the server had completed the same request lately, the call
+    /// had been given up before the crash, or the server was cold. Earlier builds take
+    /// every call of the other list for a suspect.
     #[serde(default)]
     pub doubtful_calls: Vec<ReportedCall>,
     /// Whether the server was cold, and its calls limited for it.
@@ -53,7 +54,8 @@
     pub cold: bool,
 }
 
-/// A call that a crash cut. Times are before the crash, in milliseconds.
+/// A call that a crash cut, or that was given up shortly before it. Times are before the
+/// crash, in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedCall {
     /// What the call's repeats have in common with it.
@@ -71,6 +73,16 @@
     /// Time since the server last completed the same request.
     #[serde(default)]
     pub completed_ms: Option<u64>,
+    /// Whether its caller had left or its time had run out.
+    #[serde(default)]
+    pub abandoned: bool,
+}
+
+impl ReportedCall {
+    /// Whether the crash of a warm server speaks against the call as it is.
+    pub fn is_plain_suspect(&self) -> bool {
+        self.completed_ms.is_none() && !self.abandoned
+    }
 }
 
 impl From<CutCall> for ReportedCall {
@@ -83,6 +95,7 @@
             began_ms: millis(cut.began_ago),
             broke_ms: millis(cut.broke_ago),
             completed_ms: cut.completed_ago.map(millis),
+            abandoned: cut.state == CallState::Abandoned,
         }
     }
 }
@@ -144,7 +157,7 @@
             began: before(call.began_ms),
             at: before(call.broke_ms),
             completed: call.completed_ms.map(before),
-            cold: self.cold,
+            doubtful: self.cold || call.abandoned,
         }
     }
 }
--- a/crates/core/tests/crash_suspects.rs
+++ b/crates/core/tests/crash_suspects.rs
@@ -34,8 +34,7 @@
 /// completed the same request.
 fn suspects_of(suspects: &mut CrashSuspects, now: Duration) -> Vec<(SuspectCall, bool)> {
     let cut = suspects.crash(now).into_iter();
-    cut.filter(CutCall::is_suspect)
-        .map(|cut| (cut.call, cut.completed_ago.is_some()))
+    cut.map(|cut| (cut.call, cut.completed_ago.is_some()))
         .collect()
 }
 
@@ -85,6 +84,24 @@
     );
 }
 
+// Guards against long reports: an overloaded server has many calls that are given up.
+#[test]
+fn few_calls_that_were_given_up_are_suspects() {
+    let mut suspects = CrashSuspects::default();
+    suspects.begin(NOW, 0, call("/harvest/in-flight"));
+    suspects.begin(NOW, 1, call("/harvest/broken"));
+    suspects.cut(NOW, 1);
+    for ticket in 2..1_000 {
+        suspects.begin(NOW, ticket, call(&format!("/harvest/{ticket}")));
+        suspects.abandon(NOW, ticket);
+    }
+    let cut = suspects.crash(NOW);
+    assert!(cut.len() < 20, "{} suspects", cut.len());
+    for kept in ["/harvest/in-flight", "/harvest/broken", "/harvest/999"] {
+        assert!(cut.iter().any(|cut| cut.call == call(kept)), "{kept}");
+    }
+}
+
 #[test]
 fn a_cut_call_states_how_it_ended() {
     let mut suspects = CrashSuspects::default();
--- a/crates/core/tests/quarantines.rs
+++ b/crates/core/tests/quarantines.rs
@@ -46,6 +46,7 @@
         began_ms: 30,
         broke_ms: 0,
         completed_ms: None,
+        abandoned: false,
     }
 }
 
@@ -162,6 +163,22 @@
     assert_eq!(blocked(&table), vec![call("/bad").fingerprint]);
 }
 
+// Guards against a request that is never refused because its callers leave before the
+// crash.
+#[test]
+fn crashes_after_a_call_was_given_up_count_half() {
+    let mut tally = CrashTally::default();
+    let mut table = QuarantineTable::new();
+    for number in 0..6 {
+        assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
+        let mut crash = crash(number, &["/bad"]);
+        crash.calls[0].abandoned = true;
+        tally.record_report(leader_time(NOW_MS), report("node", vec![crash]));
+    }
+    apply_due(&mut tally, NOW_MS, &mut table);
+    assert_eq!(blocked(&table), vec![call("/bad").fingerprint]);
+}
+
 // Guards against a request that is never refused because servers completed it before its
 // data went bad.
 #[test]
--- a/crates/node/src/crash_task.rs
+++ b/crates/node/src/crash_task.rs
@@ -35,7 +35,7 @@
 /// A crash of the backend server beside the node.
 #[derive(Clone, Debug)]
 pub struct ServerCrash {
-    /// Calls that it cut and that may have caused it.
+    /// Calls that it cut, or that were given up shortly before it.
     pub calls: Vec<CutCall>,
     /// Whether the server was cold, and its calls limited for it.
     pub cold: bool,
@@ -59,8 +59,8 @@
 impl KeptCrash {
     fn record(&self) -> CrashRecord {
         let calls = self.calls.iter().cloned();
-        let (doubtful_calls, calls) =
-            calls.partition(|call| self.cold || call.completed_ms.is_some());
+        let (calls, doubtful_calls) =
+            calls.partition(|call| !self.cold && call.is_plain_suspect());
         CrashRecord {
             number: self.number,
             age_ms: self.at.elapsed().as_millis() as u64,
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -519,32 +519,25 @@
             self.endpoint.instance,
             self.gate.cold().crashes()
         );
-        let mut suspects = Vec::new();
-        for cut in self.suspects.crash(now) {
-            self.log_cut_call(&cut);
-            if cut.is_suspect() {
-                suspects.push(cut);
-            }
+        let calls = self.suspects.crash(now);
+        for cut in &calls {
+            self.log_cut_call(cut);
         }
         // The reporter ends only with the node.
-        let _ = self.outputs.crashes.send(ServerCrash {
-            calls: suspects,
-            cold,
-        });
+        let _ = self.outputs.crashes.send(ServerCrash { calls, cold });
     }
 
     fn log_cut_call(&self, cut: &CutCall) {
         let completed_ago = cut.completed_ago.map(|ago| ago.as_millis());
         info!(
-            "event=call-cut-by-crash process=node instance={} fingerprint={} service={} route={} state={} began_ago_ms={} completed_ago_ms={} suspect={}",
+            "event=call-cut-by-crash process=node instance={} fingerprint={} service={} route={} state={} began_ago_ms={} completed_ago_ms={}",
             self.endpoint.instance,
             cut.call.fingerprint,
             cut.call.service,
             LogValue(&cut.call.route),
             cut.state.as_str(),
             cut.began_ago.as_millis(),
-            completed_ago.map_or("-".to_owned(), |ago| ago.to_string()),
-            cut.is_suspect()
+            completed_ago.map_or("-".to_owned(), |ago| ago.to_string())
         );
     }
 
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -69,6 +69,7 @@
                     began_ms: 30,
                     broke_ms: 1,
                     completed_ms: Some(400),
+                    abandoned: true,
                 }],
                 cold: true,
             }],
