A crash that a quarantined request explains speaks against no other request

What callers saw: beside a request that crashed 33 servers within 0.7 s while the leader was cut off, a sound request of another caller was quarantined as well, and would have been refused for five minutes.

Cause: each crash counted against all requests in flight at it, also after its cause was known. A caller who comes back is cut by three of so many crashes.

Change: requests with more crashes are judged first, and a crash under a guilty request is left out for those with fewer. The tally indexes crashes by request: it went through all crashes for each of their requests at every report.

--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -7,9 +7,10 @@
 
 use std::time::Duration;
 
-/// Weight of the crashes under a request from which on it is taken to cause them: three
-/// crashes that it was in flight at.
-const WEIGHT_MIN: usize = 3 * FULL_WEIGHT;
+/// Crashes that a request was in flight at from which on it is taken to cause them.
+pub const CRASHES_MIN: usize = 3;
+
+const WEIGHT_MIN: usize = CRASHES_MIN * FULL_WEIGHT;
 
 /// Weight of a crash that the request was in flight at.
 const FULL_WEIGHT: usize = 2;
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -6,7 +6,7 @@
 //! the guilty one apart is that servers crash under it again and again and that none
 //! completes it in between, whatever they did before.
 
-use std::collections::btree_map::Entry;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -18,6 +18,7 @@
 use crate::call_fingerprint::CallFingerprint;
 use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::RequestCrash;
+use crate::crash_evidence::CRASHES_MIN;
 use crate::crash_suspects::CallState;
 use crate::crash_suspects::CutCall;
 use crate::quarantine::QuarantineChange;
@@ -118,10 +119,15 @@
     pub elapsed: Duration,
 }
 
+/// Node and number of a crash.
+type CrashKey = (Arc<str>, u64);
+
 /// Crashes of all nodes' backend servers, as far as they were reported lately.
 #[derive(Debug, Default)]
 pub struct CrashTally {
-    crashes: BTreeMap<(Arc<str>, u64), TalliedCrash>,
+    crashes: BTreeMap<CrashKey, TalliedCrash>,
+    /// The crashes that each request was in flight at.
+    requests: BTreeMap<CallFingerprint, BTreeSet<CrashKey>>,
 }
 
 /// A request under which more than one server has crashed.
@@ -141,16 +147,11 @@
     at_ms: u64,
     /// Time since the start of the leader's process.
     at: Duration,
-    calls: Vec<ReportedCall>,
+    calls: BTreeMap<CallFingerprint, ReportedCall>,
     cold: bool,
 }
 
 impl TalliedCrash {
-    fn call(&self, fingerprint: &CallFingerprint) -> Option<&ReportedCall> {
-        let mut calls = self.calls.iter();
-        calls.find(|call| call.fingerprint == *fingerprint)
-    }
-
     fn request_crash(&self, call: &ReportedCall) -> RequestCrash {
         let before = |ms| self.at.saturating_sub(Duration::from_millis(ms));
         RequestCrash {
@@ -162,6 +163,17 @@
     }
 }
 
+/// A request that is, was or is about to be quarantined.
+#[derive(Clone, Copy, Debug)]
+struct GuiltyRequest {
+    /// End of its quarantine by the wall clock, in milliseconds since the Unix epoch.
+    until_ms: u64,
+    /// Crashes under it.
+    crashes: usize,
+}
+
+type GuiltyRequests = BTreeMap<CallFingerprint, GuiltyRequest>;
+
 impl CrashTally {
     /// Adds the crashes of a report received at `now`. Returns the requests of new
     /// crashes under which servers have crashed before.
@@ -173,36 +185,46 @@
         let mut repeated = Vec::new();
         for crash in report.crashes.into_iter().take(NODE_CRASHES_MAX) {
             let key = (Arc::clone(&report.node), crash.number);
-            let Entry::Vacant(vacant) = self.crashes.entry(key) else {
+            if self.crashes.contains_key(&key) {
                 continue;
-            };
-            let mut calls = crash.calls;
-            calls.extend(crash.doubtful_calls);
-            calls.truncate(CRASH_CALLS_MAX);
-            vacant.insert(TalliedCrash {
+            }
+            let mut calls = BTreeMap::new();
+            let reported = crash.calls.into_iter().chain(crash.doubtful_calls);
+            for call in reported.take(CRASH_CALLS_MAX) {
+                let keys = self.requests.entry(call.fingerprint).or_default();
+                keys.insert(key.clone());
+                calls.insert(call.fingerprint, call);
+            }
+            let tallied = TalliedCrash {
                 at_ms: now.wall_ms.saturating_sub(crash.age_ms),
                 at: now
                     .elapsed
                     .saturating_sub(Duration::from_millis(crash.age_ms)),
                 calls: calls.clone(),
                 cold: crash.cold,
-            });
-            for call in calls {
-                let crashes = self.crashes_under(&call.fingerprint, None);
-                if crashes.len() > 1 {
-                    let evidence = CrashEvidence::of(&crashes);
-                    let crashes = crashes.len();
-                    repeated.push(RepeatedCrash {
-                        call,
-                        crashes,
-                        evidence,
-                    });
-                }
+            };
+            self.crashes.insert(key, tallied);
+            for call in calls.into_values() {
+                repeated.extend(self.repeated_crash(call));
             }
         }
         repeated
     }
 
+    fn repeated_crash(&self, call: ReportedCall) -> Option<RepeatedCrash> {
+        let crashes = self.crash_count(&call.fingerprint);
+        if crashes < 2 {
+            return None;
+        }
+        let under = self.crashes_under(&call.fingerprint, 0, &GuiltyRequests::new());
+        let evidence = CrashEvidence::of(&under);
+        Some(RepeatedCrash {
+            call,
+            crashes,
+            evidence,
+        })
+    }
+
     /// Returns the changes that are due at `now_ms`: quarantines to start, to end and
     /// to forget.
     pub fn changes_due(
@@ -210,9 +232,7 @@
         now_ms: u64,
         table: &QuarantineTable,
     ) -> Vec<QuarantineChange> {
-        let window_ms = CRASH_WINDOW.as_millis() as u64;
-        self.crashes
-            .retain(|_, crash| now_ms.saturating_sub(crash.at_ms) < window_ms);
+        self.forget_old(now_ms);
         let mut due = self.quarantines_due(table);
         for (fingerprint, entry) in table {
             let fingerprint = *fingerprint;
@@ -227,49 +247,102 @@
         due
     }
 
+    fn forget_old(&mut self, now_ms: u64) {
+        let window_ms = CRASH_WINDOW.as_millis() as u64;
+        let requests = &mut self.requests;
+        self.crashes.retain(|key, crash| {
+            let recent = now_ms.saturating_sub(crash.at_ms) < window_ms;
+            if !recent {
+                forget_crash(requests, key, crash);
+            }
+            recent
+        });
+    }
+
+    /// Returns the quarantines to start. Requests with more crashes come first, because
+    /// they explain crashes that others were in flight at.
     fn quarantines_due(&self, table: &QuarantineTable) -> Vec<QuarantineChange> {
+        let mut guilty = self.known_guilty(table);
+        let is_candidate = |fingerprint, crashes: usize| {
+            crashes >= CRASHES_MIN || table.contains_key(fingerprint)
+        };
+        let candidates = self.requests.iter();
+        let mut candidates: Vec<_> = candidates
+            .filter(|(fingerprint, keys)| is_candidate(fingerprint, keys.len()))
+            .collect();
+        candidates.sort_by_key(|(_, keys)| Reverse(keys.len()));
         let mut due = Vec::new();
-        let mut seen = BTreeSet::new();
-        for call in self.crashes.values().flat_map(|crash| &crash.calls) {
-            if !seen.insert(call.fingerprint) {
-                continue;
-            }
-            let known = table.get(&call.fingerprint);
+        for (fingerprint, keys) in candidates {
+            let known = table.get(fingerprint);
             if known.is_some_and(|entry| entry.is_blocking()) {
                 continue;
             }
-            let ended_ms = known.map(|entry| entry.until_ms);
-            let crashes = self.crashes_under(&call.fingerprint, ended_ms);
-            let evidence = CrashEvidence::of(&crashes);
+            let ended_ms = known.map_or(0, |entry| entry.until_ms);
+            let under = self.crashes_under(fingerprint, ended_ms, &guilty);
+            let evidence = CrashEvidence::of(&under);
             let relapsed = known.is_some() && evidence.is_relapse();
             if !relapsed && !evidence.is_conclusive() {
                 continue;
             }
+            let call = keys.iter().find_map(|key| self.call(key, fingerprint));
+            let Some(call) = call else {
+                continue;
+            };
             let earlier = known.map_or(0, |entry| entry.crashes);
             due.push(QuarantineChange::Start {
-                fingerprint: call.fingerprint,
+                fingerprint: *fingerprint,
                 service: Arc::clone(&call.service),
                 route: Arc::clone(&call.route),
                 crashes: earlier.saturating_add(evidence.crashes as u32),
             });
+            let request = GuiltyRequest {
+                until_ms: u64::MAX,
+                crashes: keys.len(),
+            };
+            guilty.insert(*fingerprint, request);
         }
         due
     }
 
-    /// Returns the crashes under a request, later than `after_ms` if given. What
-    /// servers completed before that time is left out.
+    fn known_guilty(&self, table: &QuarantineTable) -> GuiltyRequests {
+        let mut guilty = GuiltyRequests::new();
+        for (fingerprint, entry) in table {
+            let crashes = self.crash_count(fingerprint).max(entry.crashes as usize);
+            let until_ms = entry.until_ms;
+            guilty.insert(*fingerprint, GuiltyRequest { until_ms, crashes });
+        }
+        guilty
+    }
+
+    fn crash_count(&self, fingerprint: &CallFingerprint) -> usize {
+        self.requests.get(fingerprint).map_or(0, BTreeSet::len)
+    }
+
+    fn call(
+        &self,
+        key: &CrashKey,
+        fingerprint: &CallFingerprint,
+    ) -> Option<&ReportedCall> {
+        self.crashes.get(key)?.calls.get(fingerprint)
+    }
+
+    /// Returns the crashes under a request that are later than `after_ms` and that no
+    /// guilty request explains. What servers completed before that time is left out.
     fn crashes_under(
         &self,
         fingerprint: &CallFingerprint,
-        after_ms: Option<u64>,
+        after_ms: u64,
+        guilty: &GuiltyRequests,
     ) -> Vec<RequestCrash> {
-        let after_ms = after_ms.unwrap_or_default();
-        let mut crashes = Vec::new();
-        for crash in self.crashes.values() {
-            let Some(call) = crash.call(fingerprint) else {
+        let mut under = Vec::new();
+        for key in self.requests.get(fingerprint).into_iter().flatten() {
+            let Some(crash) = self.crashes.get(key) else {
                 continue;
             };
-            if crash.at_ms <= after_ms {
+            let Some(call) = crash.calls.get(fingerprint) else {
+                continue;
+            };
+            if crash.at_ms <= after_ms || self.is_explained(crash, fingerprint, guilty) {
                 continue;
             }
             let mut request_crash = crash.request_crash(call);
@@ -280,8 +353,41 @@
             {
                 request_crash.completed = None;
             }
-            crashes.push(request_crash);
+            under.push(request_crash);
+        }
+        under
+    }
+
+    /// Whether another request is known to cause crashes, was in flight at this one and
+    /// at more of them than the request in question.
+    fn is_explained(
+        &self,
+        crash: &TalliedCrash,
+        fingerprint: &CallFingerprint,
+        guilty: &GuiltyRequests,
+    ) -> bool {
+        let crashes = self.crash_count(fingerprint);
+        crash.calls.keys().any(|other| {
+            let explains = guilty.get(other).is_some_and(|other| {
+                other.crashes > crashes && crash.at_ms <= other.until_ms
+            });
+            explains && other != fingerprint
+        })
+    }
+}
+
+fn forget_crash(
+    requests: &mut BTreeMap<CallFingerprint, BTreeSet<CrashKey>>,
+    key: &CrashKey,
+    crash: &TalliedCrash,
+) {
+    for fingerprint in crash.calls.keys() {
+        let Some(keys) = requests.get_mut(fingerprint) else {
+            continue;
+        };
+        keys.remove(key);
+        if keys.is_empty() {
+            requests.remove(fingerprint);
         }
-        crashes
     }
 }
