The next leader knows crashes that no node reports again

A request that had crashed two servers when the leader was lost together with the nodes beside them (a failure domain without power, whose nodes follow the leader) crashed three more.

Cause: the count was in the memory of one leader, and what it was made of in the memory of the nodes beside the crashed servers.

Change: every control instance keeps the crashes that it is told of, also one that stops leading, and the leader shares new ones with the instances of the roster each second. What is lost with the leader and the node within that second is still lost.

--- a/crates/control/src/quarantine_task.rs
+++ b/crates/control/src/quarantine_task.rs
@@ -2,7 +2,10 @@
 //!
 //! On the leader it counts the crashes that nodes report, proposes quarantines to the
 //! agreement and ends them. On other instances it forwards the reports to the leader.
+//! All instances keep them, and the leader shares what it learns: a leader that is lost
+//! together with nodes takes no count with it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,8 +18,8 @@
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
 use cowslip_core::crash_tally::CrashTally;
-use cowslip_core::crash_tally::LeaderTime;
 use cowslip_core::crash_tally::RepeatedCrash;
+use cowslip_core::crash_tally::TallyTime;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::quarantine::QuarantineChange;
 use cowslip_core::quarantine::QuarantineEntry;
@@ -34,12 +37,15 @@
 /// Capacity of the task's queue. While it is full, senders wait.
 const QUEUE_CAPACITY: usize = 1_024;
 
-/// Interval at which the leader looks for quarantines to end.
+/// Interval at which the leader looks for quarantines to end, and shares crashes.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Timeout of a proposal; after it, the change may be proposed again.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Timeout of a message to another instance.
+const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Channel to the running task.
 pub type QuarantineHandle = mpsc::Sender<CrashCall>;
 
@@ -78,32 +84,40 @@
                     Some(call) => self.record(call).await,
                     None => return,
                 },
-                _ = check_tick.tick() => self.check().await,
+                _ = check_tick.tick() => {
+                    self.share().await;
+                    self.check().await;
+                }
             }
         }
     }
 
     async fn record(&mut self, call: CrashCall) {
         let view = *self.agreement.leader.borrow();
-        if view.is_leading() {
-            let now = LeaderTime {
-                wall_ms: wall_clock::millis(),
-                elapsed: self.started.elapsed(),
-            };
-            for report in call.reports {
-                let node = Arc::clone(&report.node);
-                let repeated = self.tally.record_report(now, report);
-                self.log_repeated(&node, &repeated);
+        let now = self.now();
+        for report in &call.reports {
+            let repeated = self.tally.record_report(now, report.clone());
+            if view.is_leading() {
+                self.log_repeated(&report.node, &repeated);
             }
+        }
+        if view.is_leading() {
             self.check().await;
             return;
         }
-        let Some(address) = view.address else {
+        let Some(address) = view.address.filter(|_| !call.shared) else {
             return;
         };
         leader_forward::spawn(self.client.clone(), address, call, "crashes-failed");
     }
 
+    fn now(&self) -> TallyTime {
+        TallyTime {
+            wall_ms: wall_clock::millis(),
+            elapsed: self.started.elapsed(),
+        }
+    }
+
     fn log_repeated(&self, node: &str, repeated: &[RepeatedCrash]) {
         for RepeatedCrash {
             call,
@@ -127,13 +141,7 @@
 
     /// Proposes the changes that are due, if this instance leads.
     async fn check(&mut self) {
-        let view = *self.agreement.leader.borrow();
-        if !view.is_leading() {
-            // A lease that has expired for a moment does not end the leadership.
-            // Nodes report again what a next leadership has to know.
-            if view.lease_until.is_none() {
-                self.tally = CrashTally::default();
-            }
+        if !self.agreement.leader.borrow().is_leading() {
             return;
         }
         let Some(document) = self.document().await else {
@@ -146,6 +154,32 @@
         }
     }
 
+    /// Tells the other instances what this one has learned, if it leads.
+    async fn share(&mut self) {
+        let now = self.now();
+        self.tally.forget_old(now.wall_ms);
+        if !self.agreement.leader.borrow().is_leading() {
+            return;
+        }
+        let Some(document) = self.document().await else {
+            return;
+        };
+        let reports = self.tally.take_unshared(now);
+        if reports.is_empty() {
+            return;
+        }
+        for seat in &document.controls.seats {
+            if seat.instance == self.instance {
+                continue;
+            }
+            let call = CrashCall {
+                reports: reports.clone(),
+                shared: true,
+            };
+            spawn_share(self.client.clone(), seat.address, call);
+        }
+    }
+
     async fn document(&self) -> Option<Arc<FleetDocument>> {
         let (reply, answer) = oneshot::channel();
         let message = AgreementMessage::Current("".into(), reply);
@@ -188,6 +222,19 @@
     }
 }
 
+/// Sends crashes to another instance in a task of its own. They are not sent again: the
+/// nodes report them to the next leader as well, unless they are lost with this one.
+fn spawn_share(client: PeerClient, address: SocketAddr, call: CrashCall) {
+    actix_rt::spawn(async move {
+        if let Err(error) = client.send(address, &call, SHARE_TIMEOUT).await {
+            warn!(
+                "event=crashes-unshared process=control to={address} error={}",
+                LogValue(error)
+            );
+        }
+    });
+}
+
 /// Returns the request ID of a step. A step that two leaders propose is refused the
 /// second time, because it no longer fits the table.
 fn request_id(change: &QuarantineChange, at_ms: u64) -> Arc<str> {
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -110,12 +110,12 @@
     pub crashes: Vec<CrashRecord>,
 }
 
-/// A moment by both clocks of the leader.
+/// A moment by both clocks of a control instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaderTime {
+pub struct TallyTime {
     /// Wall clock, in milliseconds since the Unix epoch.
     pub wall_ms: u64,
-    /// Time since the leader's process started, which no step of a clock changes.
+    /// Time since the instance's process started, which no step of a clock changes.
     pub elapsed: Duration,
 }
 
@@ -128,6 +128,8 @@
     crashes: BTreeMap<CrashKey, TalliedCrash>,
     /// The crashes that each request was in flight at.
     requests: BTreeMap<CallFingerprint, BTreeSet<CrashKey>>,
+    /// Crashes that the other control instances have not been told by this one.
+    unshared: BTreeSet<CrashKey>,
 }
 
 /// A request under which more than one server has crashed.
@@ -145,7 +147,7 @@
 struct TalliedCrash {
     /// Wall clock, in milliseconds since the Unix epoch.
     at_ms: u64,
-    /// Time since the start of the leader's process.
+    /// Time since the start of the instance's process.
     at: Duration,
     calls: BTreeMap<CallFingerprint, ReportedCall>,
     cold: bool,
@@ -179,7 +181,7 @@
     /// crashes under which servers have crashed before.
     pub fn record_report(
         &mut self,
-        now: LeaderTime,
+        now: TallyTime,
         report: CrashReport,
     ) -> Vec<RepeatedCrash> {
         let mut repeated = Vec::new();
@@ -203,6 +205,7 @@
                 calls: calls.clone(),
                 cold: crash.cold,
             };
+            self.unshared.insert(key.clone());
             self.crashes.insert(key, tallied);
             for call in calls.into_values() {
                 repeated.extend(self.repeated_crash(call));
@@ -247,18 +250,50 @@
         due
     }
 
-    fn forget_old(&mut self, now_ms: u64) {
+    /// Forgets crashes that no longer count at `now_ms`.
+    pub fn forget_old(&mut self, now_ms: u64) {
         let window_ms = CRASH_WINDOW.as_millis() as u64;
         let requests = &mut self.requests;
+        let unshared = &mut self.unshared;
         self.crashes.retain(|key, crash| {
             let recent = now_ms.saturating_sub(crash.at_ms) < window_ms;
             if !recent {
+                unshared.remove(key);
                 forget_crash(requests, key, crash);
             }
             recent
         });
     }
 
+    /// Returns the crashes that were recorded since the last time, or since the start,
+    /// for the other control instances.
+    pub fn take_unshared(&mut self, now: TallyTime) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for (node, number) in std::mem::take(&mut self.unshared) {
+            let key = (node, number);
+            let Some(crash) = self.crashes.get(&key) else {
+                continue;
+            };
+            let age = now.elapsed.saturating_sub(crash.at);
+            let (calls, doubtful_calls) = crash
+                .calls
+                .values()
+                .cloned()
+                .partition(|call| !crash.cold && call.is_plain_suspect());
+            reports.push(CrashReport {
+                node: key.0,
+                crashes: vec![CrashRecord {
+                    number,
+                    age_ms: age.as_millis() as u64,
+                    calls,
+                    doubtful_calls,
+                    cold: crash.cold,
+                }],
+            });
+        }
+        reports
+    }
+
     /// Returns the quarantines to start. Requests with more crashes come first, because
     /// they explain crashes that others were in flight at.
     fn quarantines_due(&self, table: &QuarantineTable) -> Vec<QuarantineChange> {
--- a/crates/core/tests/quarantines.rs
+++ b/crates/core/tests/quarantines.rs
@@ -16,8 +16,8 @@
 use cowslip_core::crash_tally::CrashRecord;
 use cowslip_core::crash_tally::CrashReport;
 use cowslip_core::crash_tally::CrashTally;
-use cowslip_core::crash_tally::LeaderTime;
 use cowslip_core::crash_tally::ReportedCall;
+use cowslip_core::crash_tally::TallyTime;
 use cowslip_core::crash_tally::CRASH_WINDOW;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::quarantine::QuarantineChange;
@@ -78,8 +78,8 @@
 }
 
 /// The leader's clocks at `wall_ms`.
-fn leader_time(wall_ms: u64) -> LeaderTime {
-    LeaderTime {
+fn tally_time(wall_ms: u64) -> TallyTime {
+    TallyTime {
         wall_ms,
         elapsed: Duration::from_millis(wall_ms - NOW_MS) + START,
     }
@@ -113,15 +113,15 @@
 
 fn crash_thrice(tally: &mut CrashTally, now_ms: u64) {
     tally.record_report(
-        leader_time(now_ms),
+        tally_time(now_ms),
         report("node-1", vec![crash(1, &["/bad", "/a"])]),
     );
     tally.record_report(
-        leader_time(now_ms),
+        tally_time(now_ms),
         report("node-2", vec![crash(1, &["/bad", "/b"])]),
     );
     tally.record_report(
-        leader_time(now_ms),
+        tally_time(now_ms),
         report("node-3", vec![crash(1, &["/bad", "/a"])]),
     );
 }
@@ -133,16 +133,16 @@
     let mut tally = CrashTally::default();
     let mut table = QuarantineTable::new();
     tally.record_report(
-        leader_time(NOW_MS),
+        tally_time(NOW_MS),
         report("node-1", vec![crash(1, &["/bad", "/a"])]),
     );
     tally.record_report(
-        leader_time(NOW_MS),
+        tally_time(NOW_MS),
         report("node-2", vec![crash(1, &["/bad", "/b"])]),
     );
     assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
     tally.record_report(
-        leader_time(NOW_MS),
+        tally_time(NOW_MS),
         report("node-3", vec![crash(1, &["/bad", "/a"])]),
     );
     apply_due(&mut tally, NOW_MS, &mut table);
@@ -167,7 +167,7 @@
     let bad = call("/bad").fingerprint;
     for (number, paths) in crashes.into_iter().enumerate() {
         let crash = crash(number as u64, paths);
-        tally.record_report(leader_time(NOW_MS), report("node", vec![crash]));
+        tally.record_report(tally_time(NOW_MS), report("node", vec![crash]));
         apply_due(&mut tally, NOW_MS, &mut table);
     }
     assert_eq!(blocked(&table), vec![bad]);
@@ -178,7 +178,7 @@
     // Crashes of its own do.
     for number in 10..13 {
         let crash = crash(number, &["/a"]);
-        let now = leader_time(end_ms + 1);
+        let now = tally_time(end_ms + 1);
         tally.record_report(now, report("node", vec![crash]));
     }
     apply_due(&mut tally, end_ms + 1, &mut table);
@@ -197,7 +197,7 @@
             cold: true,
             ..crash(number, &["/bad"])
         };
-        tally.record_report(leader_time(NOW_MS), report("node", vec![crash]));
+        tally.record_report(tally_time(NOW_MS), report("node", vec![crash]));
     }
     apply_due(&mut tally, NOW_MS, &mut table);
     assert_eq!(blocked(&table), vec![call("/bad").fingerprint]);
@@ -213,7 +213,7 @@
         assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
         let mut crash = crash(number, &["/bad"]);
         crash.calls[0].abandoned = true;
-        tally.record_report(leader_time(NOW_MS), report("node", vec![crash]));
+        tally.record_report(tally_time(NOW_MS), report("node", vec![crash]));
     }
     apply_due(&mut tally, NOW_MS, &mut table);
     assert_eq!(blocked(&table), vec![call("/bad").fingerprint]);
@@ -230,7 +230,7 @@
         assert_eq!(blocked(&table), Vec::new());
         let now_ms = NOW_MS + after_ms;
         let crash = crash_after(40 + after_ms, number as u64, "/prices");
-        tally.record_report(leader_time(now_ms), report("node", vec![crash]));
+        tally.record_report(tally_time(now_ms), report("node", vec![crash]));
         apply_due(&mut tally, now_ms, &mut table);
     }
     assert_eq!(blocked(&table), vec![call("/prices").fingerprint]);
@@ -245,7 +245,7 @@
     for number in 0..20 {
         let now_ms = NOW_MS + number * 700;
         let crash = crash_after(40, number, "/prices");
-        tally.record_report(leader_time(now_ms), report("node", vec![crash]));
+        tally.record_report(tally_time(now_ms), report("node", vec![crash]));
         assert_eq!(apply_due(&mut tally, now_ms, &mut table), Vec::new());
     }
 }
@@ -261,7 +261,7 @@
         let now_ms = NOW_MS + number * 2;
         let crash = crash_after(900, number, "/prices");
         let report = report(&format!("node-{number}"), vec![crash]);
-        tally.record_report(leader_time(now_ms), report);
+        tally.record_report(tally_time(now_ms), report);
         assert_eq!(apply_due(&mut tally, now_ms, &mut table), Vec::new());
     }
 }
@@ -272,7 +272,7 @@
     let mut tally = CrashTally::default();
     let mut table = QuarantineTable::new();
     for (number, after_ms) in [0, 300, 700].into_iter().enumerate() {
-        let now = LeaderTime {
+        let now = TallyTime {
             wall_ms: NOW_MS - 5_000 * number as u64,
             elapsed: START + Duration::from_millis(after_ms),
         };
@@ -295,12 +295,12 @@
     apply_due(&mut tally, end_ms, &mut table);
     let now_ms = end_ms + 5_000;
     let crashes = vec![crash_after(1_000, 9, "/bad")];
-    tally.record_report(leader_time(now_ms), report("node-1", crashes));
+    tally.record_report(tally_time(now_ms), report("node-1", crashes));
     assert_eq!(apply_due(&mut tally, now_ms, &mut table), Vec::new());
     // Not completed since the end of the quarantine.
     let crashes = vec![crash_after(6_000, 9, "/bad")];
     let mut successor = CrashTally::default();
-    successor.record_report(leader_time(now_ms), report("node-2", crashes));
+    successor.record_report(tally_time(now_ms), report("node-2", crashes));
     assert_eq!(apply_due(&mut successor, now_ms, &mut table).len(), 1);
 }
 
@@ -311,14 +311,45 @@
     let mut table = QuarantineTable::new();
     for repeat in 0..5 {
         let crashes = vec![crash(1, &["/bad"]), crash(2, &["/bad"])];
-        tally.record_report(leader_time(NOW_MS + repeat), report("node-1", crashes));
+        tally.record_report(tally_time(NOW_MS + repeat), report("node-1", crashes));
     }
     assert_eq!(apply_due(&mut tally, NOW_MS, &mut table), Vec::new());
     let crashes = vec![crash(2, &["/bad"]), crash(3, &["/bad"])];
-    tally.record_report(leader_time(NOW_MS + 9), report("node-1", crashes));
+    tally.record_report(tally_time(NOW_MS + 9), report("node-1", crashes));
     assert_eq!(apply_due(&mut tally, NOW_MS + 9, &mut table).len(), 1);
 }
 
+// Guards against a successor of the leader that counts shared crashes otherwise, or that
+// is told of them again and again.
+#[test]
+fn shared_crashes_count_as_reported_ones() {
+    let mut leader = CrashTally::default();
+    let mut successor = CrashTally::default();
+    let cold = CrashRecord {
+        cold: true,
+        doubtful_calls: vec![call("/cold")],
+        ..crash(2, &[])
+    };
+    let mut plain = crash(1, &["/bad", "/a"]);
+    plain.calls.sort_by_key(|call| call.fingerprint);
+    let crashes = vec![plain, cold, crash_after(40, 3, "/a")];
+    leader.record_report(tally_time(NOW_MS), report("node-1", crashes.clone()));
+    let later = tally_time(NOW_MS + 700);
+    let mut shared = leader.take_unshared(later);
+    assert_eq!(leader.take_unshared(later), Vec::new());
+    for shared in &mut shared {
+        assert_eq!(&*shared.node, "node-1");
+        assert_eq!(shared.crashes[0].age_ms, 700);
+        shared.crashes[0].age_ms = 0;
+        successor.record_report(later, shared.clone());
+    }
+    let shared = shared.into_iter().flat_map(|report| report.crashes);
+    assert!(shared.eq(crashes.clone()));
+    // A node that lives on reports the same crashes to the successor.
+    let repeated = successor.record_report(later, report("node-1", crashes));
+    assert_eq!(repeated, Vec::new());
+}
+
 #[test]
 fn crashes_far_apart_make_no_request_guilty() {
     let mut tally = CrashTally::default();
@@ -327,7 +358,7 @@
     for number in 0..20 {
         let now_ms = NOW_MS + number * apart_ms;
         tally.record_report(
-            leader_time(now_ms),
+            tally_time(now_ms),
             report("node-1", vec![crash(number, &["/bad"])]),
         );
         assert_eq!(apply_due(&mut tally, now_ms, &mut table), Vec::new());
@@ -351,7 +382,7 @@
     assert_eq!(apply_due(&mut tally, now_ms + 1, &mut table), Vec::new());
     now_ms += 2;
     tally.record_report(
-        leader_time(now_ms),
+        tally_time(now_ms),
         report("node-4", vec![crash(1, &["/bad", "/c"])]),
     );
     apply_due(&mut tally, now_ms, &mut table);
@@ -385,8 +416,7 @@
         ..crash(1, &["/bad"])
     };
     for node in ["node-1", "node-2", "node-3"] {
-        successor
-            .record_report(leader_time(NOW_MS + 8), report(node, vec![late.clone()]));
+        successor.record_report(tally_time(NOW_MS + 8), report(node, vec![late.clone()]));
     }
     assert_eq!(
         apply_due(&mut successor, NOW_MS + 8, &mut table),
@@ -489,7 +519,7 @@
             let paths: Vec<&str> = paths.iter().map(String::as_str).collect();
             let node = Arc::<str>::from(format!("node-{node}"));
             let record = crash(at as u64, &paths);
-            tally.record_report(leader_time(NOW_MS), report(&node, vec![record]));
+            tally.record_report(tally_time(NOW_MS), report(&node, vec![record]));
             apply_due(&mut tally, NOW_MS, &mut table);
             let calls: Vec<&Vec<u8>> = reported.iter().map(|at| &crashes[*at].1).collect();
             expected_refused(&calls, &mut refused);
@@ -513,7 +543,7 @@
             let now_ms = NOW_MS + after_ms;
             let mut crash = crash_after(completed_ms, number as u64, "/prices");
             crash.doubtful_calls[0].began_ms = began_ms;
-            tally.record_report(leader_time(now_ms), report("node", vec![crash]));
+            tally.record_report(tally_time(now_ms), report("node", vec![crash]));
             apply_due(&mut tally, now_ms, &mut table);
             prop_assert!(table.is_empty());
         }
--- a/crates/node/src/crash_task.rs
+++ b/crates/node/src/crash_task.rs
@@ -160,6 +160,7 @@
                 node: Arc::clone(&self.node),
                 crashes: self.crashes.iter().map(KeptCrash::record).collect(),
             }],
+            shared: false,
         };
         let address = *self.control.borrow();
         let other = control_watch::wait_for_other(&self.control, address);
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -74,6 +74,7 @@
                 cold: true,
             }],
         }],
+        shared: false,
     }
 }
 
--- a/crates/wire/src/crash_messages.rs
+++ b/crates/wire/src/crash_messages.rs
@@ -12,8 +12,11 @@
 /// harmless.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashCall {
-    /// The latest report of each node.
+    /// The latest report of each node, or what the leader has learned lately.
     pub reports: Vec<CrashReport>,
+    /// Whether the leader tells the other control instances what it knows.
+    #[serde(default)]
+    pub shared: bool,
 }
 
 impl WireCall for CrashCall {
