A busy node's reports of its server do not take turns with calls

What callers saw: while a service is overloaded, a crash of a server, or its drain, was known to the other nodes and to the leader late; they went on sending calls to it.

Cause: the report of a crash and the record of the node's own endpoint were sent by the thread that handles calls, and waited at each step for all calls that were ready.

Change: both tasks run on the thread that follows the control instances.

--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -39,6 +39,8 @@
 
 use crate::control_watch;
 use crate::control_watch::ControlWatch;
+use crate::crash_task;
+use crate::crash_task::ServerCrash;
 use crate::entry_task::EntryMessage;
 use crate::follow_metrics::FollowMetrics;
 use crate::gate_messages::GateMessage;
@@ -114,12 +116,20 @@
     pub metrics: FollowMetrics,
 }
 
-/// Starts following on a thread of its own, which ends with the entry task. The
-/// returned channel holds the address of the control instance in use.
+/// What a node reports about its backend server.
+pub struct ServerNews {
+    /// Each change of the endpoint's record.
+    pub records: mpsc::UnboundedReceiver<EndpointRecord>,
+    /// Each crash of the server.
+    pub crashes: mpsc::UnboundedReceiver<ServerCrash>,
+}
+
+/// Starts following and reporting on a thread of its own, which ends with the entry
+/// task. The returned channel holds the address of the control instance in use.
 ///
-/// Load pattern: calls arrive faster than a node can handle them. Polls and
-/// versions would take turns with hundreds of calls on the calls' thread.
-pub fn spawn(options: FollowOptions) -> io::Result<ControlWatch> {
+/// Load pattern: calls arrive faster than a node can handle them. Polls, versions and
+/// reports would take turns with hundreds of calls on the calls' thread.
+pub fn spawn(options: FollowOptions, news: ServerNews) -> io::Result<ControlWatch> {
     let domain = Arc::clone(&options.failure_domain);
     let ring = SourceRing::new(domain, &options.controls.borrow(), options.seed);
     let (current, watched) = watch::channel(ring.current());
@@ -129,6 +139,7 @@
     let unlisted_delay = UNLISTED_DELAY_MIN + Duration::from_millis(spread_ms);
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let thread = thread::Builder::new().name("follow".to_owned());
+    let control = watched.clone();
     thread.spawn(move || {
         let (report_returns, returned_reports) = mpsc::unbounded_channel();
         let follower = ControlFollower {
@@ -146,11 +157,27 @@
             waited: false,
             started: Instant::now(),
         };
-        actix_rt::Runtime::from(runtime).block_on(follower.run_until_closed());
+        actix_rt::Runtime::from(runtime).block_on(async {
+            spawn_reports(&follower, control, news);
+            follower.run_until_closed().await;
+        });
     })?;
     Ok(watched)
 }
 
+/// Starts the tasks that report to the control instance in use.
+fn spawn_reports(follower: &ControlFollower, control: ControlWatch, news: ServerNews) {
+    let options = &follower.options;
+    let client = PeerClient::new(options.system_key.clone());
+    crash_task::spawn(
+        Arc::clone(&options.instance),
+        client.clone(),
+        control.clone(),
+        news.crashes,
+    );
+    actix_rt::spawn(publish(control, options.seed, client, news.records));
+}
+
 struct ControlFollower {
     options: FollowOptions,
     client: PeerClient,
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -29,7 +29,6 @@
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::claim_client::ClaimClient;
-use crate::crash_task;
 use crate::entry_handler::EntryHandler;
 use crate::entry_handler::EntryProxy;
 use crate::entry_task;
@@ -37,6 +36,7 @@
 use crate::follow_metrics::FollowMetrics;
 use crate::follow_task;
 use crate::follow_task::FollowOptions;
+use crate::follow_task::ServerNews;
 use crate::gate_messages::GateEndpoint;
 use crate::gate_messages::GateMessage;
 use crate::gate_messages::GateOutputs;
@@ -245,7 +245,7 @@
         );
         let peers = PeerClient::new(settings.system_key.clone());
         let (controls, watched_controls) = watch::channel(settings.controls.clone());
-        let control = follow_task::spawn(FollowOptions {
+        let options = FollowOptions {
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
             controls: watched_controls,
@@ -255,25 +255,20 @@
             entry: entry.clone(),
             gate: gate.clone(),
             metrics: FollowMetrics::new(&mut registry),
-        })?;
+        };
+        let news = ServerNews {
+            records: published,
+            crashes: reported_crashes,
+        };
+        let control = follow_task::spawn(options, news)?;
         evidence_task::spawn(
             entry.clone(),
             peers.clone(),
-            control.clone(),
+            control,
             settings.evidence_pause,
         );
-        crash_task::spawn(
-            Arc::clone(&settings.instance),
-            peers.clone(),
-            control.clone(),
-            reported_crashes,
-        );
-        let claims = ClaimClient::new(
-            Arc::clone(&settings.instance),
-            entry.clone(),
-            peers.clone(),
-        );
-        actix_rt::spawn(follow_task::publish(control, seed, peers, published));
+        let claims =
+            ClaimClient::new(Arc::clone(&settings.instance), entry.clone(), peers);
         actix_rt::spawn(server_check::run(
             Rc::clone(&pools),
             Rc::clone(&dialect),
--- a/crates/node/tests/control_watch.rs
+++ b/crates/node/tests/control_watch.rs
@@ -6,9 +6,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use cowslip_core::crash_suspects::CallState;
-use cowslip_core::crash_suspects::CutCall;
-use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_node::crash_task;
 use cowslip_node::crash_task::ServerCrash;
 use cowslip_node::follow_task;
@@ -19,11 +16,14 @@
 use cowslip_wire::peer_client::PeerClient;
 
 use crate::condition_wait::wait_until;
+use crate::cut_call::cut_call;
 use crate::endpoint_record::endpoint_record;
 use crate::silent_instance::SilentInstance;
 
 #[path = "../../wire/tests/support/condition_wait.rs"]
 mod condition_wait;
+#[path = "support/cut_call.rs"]
+mod cut_call;
 #[path = "../../wire/tests/support/endpoint_record.rs"]
 mod endpoint_record;
 #[path = "../../wire/tests/support/silent_instance.rs"]
@@ -36,21 +36,6 @@
 /// Time after which a condition counts as never met.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-fn cut_call() -> CutCall {
-    let fingerprint = "0123456789abcdef0123456789abcdef".parse();
-    CutCall {
-        call: SuspectCall {
-            fingerprint: fingerprint.expect("32 digits"),
-            service: "records".into(),
-            route: "/records".into(),
-        },
-        state: CallState::InFlight,
-        began_ago: Duration::from_millis(30),
-        broke_ago: Duration::ZERO,
-        completed_ago: None,
-    }
-}
-
 // Guards against a drain and a crash that are known seconds late, because the control
 // instance that they were reported to is silent and the node has left it since.
 #[test]
--- a/crates/node/tests/follow_task.rs
+++ b/crates/node/tests/follow_task.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +23,7 @@
 use cowslip_core::control_roster::ControlRoster;
 use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::control_state::ConfigSnapshot;
+use cowslip_core::directory::EndpointRecord;
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::ServiceSpec;
 use cowslip_core::follow_exchange::FollowCall;
@@ -31,13 +33,16 @@
 use cowslip_core::update_source::SourceIdentity;
 use cowslip_core::update_source::UpdateSource;
 use cowslip_core::version::ConfigVersion;
+use cowslip_node::crash_task::ServerCrash;
 use cowslip_node::entry_task::EntryMessage;
 use cowslip_node::follow_metrics::FollowMetrics;
 use cowslip_node::follow_task;
 use cowslip_node::follow_task::FollowOptions;
+use cowslip_node::follow_task::ServerNews;
 use cowslip_node::gate_messages::GateMessage;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::codec;
+use cowslip_wire::crash_messages::CrashCall;
 use cowslip_wire::follow_messages::ReportCall;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
@@ -47,10 +52,13 @@
 use cowslip_wire::messages::WireCall;
 
 use crate::condition_wait::wait_until;
+use crate::cut_call::cut_call;
 use crate::endpoint_record::endpoint_record;
 
 #[path = "../../wire/tests/support/condition_wait.rs"]
 mod condition_wait;
+#[path = "support/cut_call.rs"]
+mod cut_call;
 #[path = "../../wire/tests/support/endpoint_record.rs"]
 mod endpoint_record;
 
@@ -67,6 +75,9 @@
 /// users state it.
 const CHANGE_TIME_MAX: Duration = Duration::from_secs(2);
 
+/// Time after which a control instance must know of a crash, however busy the node is.
+const REPORT_TIME_MAX: Duration = Duration::from_millis(500);
+
 /// Calls that a busy node has ready at any time, and the time that each takes.
 const BUSY_TASKS: usize = 300;
 const BUSY_TIME: Duration = Duration::from_millis(5);
@@ -211,6 +222,54 @@
     }
 }
 
+/// What a node tells of its backend server.
+struct NewsSenders {
+    records: mpsc::UnboundedSender<EndpointRecord>,
+    crashes: mpsc::UnboundedSender<ServerCrash>,
+}
+
+fn server_news() -> (NewsSenders, ServerNews) {
+    let (sent_records, records) = mpsc::unbounded_channel();
+    let (sent_crashes, crashes) = mpsc::unbounded_channel();
+    let senders = NewsSenders {
+        records: sent_records,
+        crashes: sent_crashes,
+    };
+    (senders, ServerNews { records, crashes })
+}
+
+/// Notes when requests with a path arrive, and answers none.
+struct ArrivalHandler {
+    arrivals: std::sync::mpsc::Sender<(String, Instant)>,
+}
+
+impl HttpHandler for ArrivalHandler {
+    fn handle(&self, request: Request) -> ReplyFuture {
+        let arrival = (request.path().to_owned(), Instant::now());
+        // The test may have ended.
+        let _ = self.arrivals.send(arrival);
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Runs a control instance on a thread of its own that answers nothing. Returns its
+/// address and what arrives there.
+fn spawn_silent_control() -> (SocketAddr, Receiver<(String, Instant)>) {
+    let (started, address) = std::sync::mpsc::channel();
+    let (arrivals, arrived) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        System::new().block_on(async move {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let handler = Rc::new(ArrivalHandler { arrivals });
+            let listener = HttpListener::bind(any, 8, handler).expect("a free port");
+            started.send(listener.address()).expect("the test waits");
+            std::future::pending::<()>().await;
+        });
+    });
+    let address = address.recv().expect("the control instance started");
+    (address, arrived)
+}
+
 /// A control instance of the settings that names another one, and what it sees of the
 /// node.
 struct RosterInstance {
@@ -280,6 +339,7 @@
     applied: Rc<Cell<AppliedVersion>>,
     controls: watch::Sender<Vec<SocketAddr>>,
     _gate: mpsc::UnboundedReceiver<GateMessage>,
+    _news: NewsSenders,
 }
 
 /// The version in force, and since when.
@@ -300,12 +360,14 @@
         }));
         actix_rt::spawn(apply_versions(messages, Rc::clone(&applied)));
         let (controls, watched) = watch::channel(vec![address]);
-        follow_task::spawn(follow_options(watched, entry, sender))
+        let (senders, news) = server_news();
+        follow_task::spawn(follow_options(watched, entry, sender), news)
             .expect("a thread to follow on");
         let follower = Self {
             applied,
             controls,
             _gate: gate,
+            _news: senders,
         };
         follower.wait_for(ConfigVersion::new(1, 1)).await;
         follower
@@ -413,6 +475,39 @@
     });
 }
 
+// Guards against the crash of a server that is known late because its report takes turns
+// with the calls of a busy node.
+#[test]
+fn a_busy_node_reports_a_crash_in_time() {
+    let (address, arrived) = spawn_silent_control();
+    System::new().block_on(async {
+        let (entry, _messages) = mpsc::channel(64);
+        let (gate, _gate) = mpsc::unbounded_channel();
+        let (_controls, controls) = watch::channel(vec![address]);
+        let (senders, news) = server_news();
+        follow_task::spawn(follow_options(controls, entry, gate), news)
+            .expect("a thread to follow on");
+        spawn_busy_tasks();
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        let crashed = Instant::now();
+        let record = endpoint_record("records-1");
+        senders.records.send(record).expect("the node reports");
+        let crash = ServerCrash {
+            calls: vec![cut_call()],
+            cold: false,
+        };
+        senders.crashes.send(crash).expect("the node reports");
+        actix_rt::time::sleep(REPORT_TIME_MAX).await;
+        let arrivals: Vec<(String, Instant)> = arrived.try_iter().collect();
+        for path in [ReportCall::PATH, CrashCall::PATH] {
+            let arrival = arrivals.iter().find(|(arrival, _)| arrival == path);
+            let took = arrival.map(|(_, at)| *at - crashed);
+            let in_time = took.is_some_and(|took| took < REPORT_TIME_MAX);
+            assert!(in_time, "{path} after {took:?}");
+        }
+    });
+}
+
 // Guards against a follower that outlives its node, and polls a control instance that
 // is gone too.
 #[test]
@@ -424,8 +519,10 @@
         let (entry, messages) = mpsc::channel(64);
         let (gate, _gate) = mpsc::unbounded_channel();
         let (_controls, controls) = watch::channel(vec![address]);
-        let mut control = follow_task::spawn(follow_options(controls, entry, gate))
-            .expect("a thread to follow on");
+        let (_news, news) = server_news();
+        let options = follow_options(controls, entry, gate);
+        let mut control =
+            follow_task::spawn(options, news).expect("a thread to follow on");
         actix_rt::time::sleep(FOLLOW_WAIT / 4).await;
         drop(messages);
         let ended = actix_rt::time::timeout(FOLLOW_WAIT / 4, control.changed()).await;
