A crash that a probe has found counts once

What callers saw: after a crash, where calls to cold servers are limited, the new run of the server got a quarter of the calls that it tolerates instead of half. In the counts of crashes, calls that a sound run had just begun were suspects.

Cause: when a probe finds that something listens again at the address of a lost server, the server is offered again. The first report of that run then looked like another run that replaces one which nobody saw end: a second crash, with the calls in flight at the sound run.

Change: the gate remembers that the next run to report is the one that the probe has found.

--- a/crates/core/src/server_presence.rs
+++ b/crates/core/src/server_presence.rs
@@ -36,6 +36,9 @@
     draining_since: Option<Duration>,
     node_stopping: bool,
     unreachable: bool,
+    /// Whether something listens at the address of a lost server whose run has not
+    /// reported yet.
+    unreported: bool,
 }
 
 impl ServerPresence {
@@ -67,6 +70,7 @@
         self.address = Some(address);
         self.draining_since = None;
         self.unreachable = false;
+        self.unreported = false;
         Ok(())
     }
 
@@ -81,6 +85,7 @@
         self.address = Some(address);
         self.draining_since = None;
         self.unreachable = false;
+        self.unreported = false;
         Ok(())
     }
 
@@ -102,16 +107,31 @@
         let withdraw =
             !self.unreachable && !self.node_stopping && self.draining_since.is_none();
         self.unreachable |= withdraw;
+        self.unreported &= !withdraw;
         withdraw
     }
 
-    /// Notes that something listens at the server's address again. Returns true
-    /// if the server has to be offered again: it was unreachable until now, is
-    /// not draining, and has not announced itself in the meantime.
+    /// Notes that the current run of the server reports. Returns true if the server
+    /// has to be offered again: it was unreachable until now, is not draining, and
+    /// has not announced itself in the meantime.
     pub fn mark_reachable(&mut self) -> bool {
         let offer_again =
             self.unreachable && !self.node_stopping && self.draining_since.is_none();
         self.unreachable = false;
         offer_again
     }
+
+    /// Notes that something listens at the server's address again: another run, which
+    /// has not reported yet. Returns true if the server has to be offered again.
+    pub fn mark_found(&mut self) -> bool {
+        let offer_again = self.mark_reachable();
+        self.unreported |= offer_again;
+        offer_again
+    }
+
+    /// Whether the next run to report is one that was found already, after the end of
+    /// the run before it.
+    pub fn awaits_report(&self) -> bool {
+        self.unreported
+    }
 }
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -296,6 +296,7 @@
             return Err(PresenceRefusal::Draining);
         }
         let in_flight = self.gate.in_flight();
+        let may_have_crashed = self.may_have_crashed();
         self.presence.announce(now, address, in_flight)?;
         info!(
             "event=announced process=node instance={} service={} version={} slots={}",
@@ -312,7 +313,7 @@
         let same_run = unchanged
             && self.server == Some(address)
             && self.gate.statements().run() == run.as_ref();
-        if !same_run && run.is_some() && self.may_have_crashed() {
+        if !same_run && run.is_some() && may_have_crashed {
             self.record_crash(now);
         }
         if !same_run || self.gate.is_draining() {
@@ -406,9 +407,11 @@
     }
 
     /// Whether another run that begins now shows that the last one ended without
-    /// notice.
+    /// notice, which has not been found before.
     fn may_have_crashed(&self) -> bool {
-        self.gate.announced().is_some() && !self.gate.is_draining()
+        self.gate.announced().is_some()
+            && !self.gate.is_draining()
+            && !self.presence.awaits_report()
     }
 
     fn set_announced(&mut self, server: AnnouncedServer) {
@@ -492,7 +495,7 @@
             }
             return;
         }
-        if !self.presence.mark_reachable() {
+        if !self.presence.mark_found() {
             return;
         }
         if let Some(server) = self.gate.announced().cloned() {
