Of requests cut by the same crashes the one with most of them is refused

What callers saw: a sound request was quarantined 44 ms before the one that crashed its servers. Callers of the latter left before the crashes, so that these counted half.

Cause: a crash was explained only by a request that was quarantined already.

Change: a crash is explained by any request in flight that was so at more crashes since its last completion, quarantined or not.

--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -6,7 +6,6 @@
 //! the guilty one apart is that servers crash under it again and again and that none
 //! completes it in between, whatever they did before.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -165,17 +164,6 @@
     }
 }
 
-/// A request that is, was or is about to be quarantined.
-#[derive(Clone, Copy, Debug)]
-struct GuiltyRequest {
-    /// End of its quarantine by the wall clock, in milliseconds since the Unix epoch.
-    until_ms: u64,
-    /// Crashes under it.
-    crashes: usize,
-}
-
-type GuiltyRequests = BTreeMap<CallFingerprint, GuiltyRequest>;
-
 impl CrashTally {
     /// Adds the crashes of a report received at `now`. Returns the requests of new
     /// crashes under which servers have crashed before.
@@ -219,8 +207,7 @@
         if crashes < 2 {
             return None;
         }
-        let under = self.crashes_under(&call.fingerprint, 0, &GuiltyRequests::new());
-        let evidence = CrashEvidence::of(&under);
+        let evidence = self.evidence(&call.fingerprint, 0, |_| true);
         Some(RepeatedCrash {
             call,
             crashes,
@@ -294,27 +281,21 @@
         reports
     }
 
-    /// Returns the quarantines to start. Requests with more crashes come first, because
-    /// they explain crashes that others were in flight at.
     fn quarantines_due(&self, table: &QuarantineTable) -> Vec<QuarantineChange> {
-        let mut guilty = self.known_guilty(table);
-        let is_candidate = |fingerprint, crashes: usize| {
-            crashes >= CRASHES_MIN || table.contains_key(fingerprint)
-        };
-        let candidates = self.requests.iter();
-        let mut candidates: Vec<_> = candidates
-            .filter(|(fingerprint, keys)| is_candidate(fingerprint, keys.len()))
-            .collect();
-        candidates.sort_by_key(|(_, keys)| Reverse(keys.len()));
         let mut due = Vec::new();
-        for (fingerprint, keys) in candidates {
+        for (fingerprint, keys) in &self.requests {
             let known = table.get(fingerprint);
-            if known.is_some_and(|entry| entry.is_blocking()) {
+            let blocked = known.is_some_and(|entry| entry.is_blocking());
+            if blocked || known.is_none() && keys.len() < CRASHES_MIN {
                 continue;
             }
             let ended_ms = known.map_or(0, |entry| entry.until_ms);
-            let under = self.crashes_under(fingerprint, ended_ms, &guilty);
-            let evidence = CrashEvidence::of(&under);
+            let earlier = known.map_or(0, |entry| entry.crashes);
+            let later = self.evidence(fingerprint, ended_ms, |_| true).crashes;
+            let crashes = later + earlier as usize;
+            let evidence = self.evidence(fingerprint, ended_ms, |crash| {
+                !self.is_explained(crash, fingerprint, crashes, table)
+            });
             let relapsed = known.is_some() && evidence.is_relapse();
             if !relapsed && !evidence.is_conclusive() {
                 continue;
@@ -323,32 +304,16 @@
             let Some(call) = call else {
                 continue;
             };
-            let earlier = known.map_or(0, |entry| entry.crashes);
             due.push(QuarantineChange::Start {
                 fingerprint: *fingerprint,
                 service: Arc::clone(&call.service),
                 route: Arc::clone(&call.route),
                 crashes: earlier.saturating_add(evidence.crashes as u32),
             });
-            let request = GuiltyRequest {
-                until_ms: u64::MAX,
-                crashes: keys.len(),
-            };
-            guilty.insert(*fingerprint, request);
         }
         due
     }
 
-    fn known_guilty(&self, table: &QuarantineTable) -> GuiltyRequests {
-        let mut guilty = GuiltyRequests::new();
-        for (fingerprint, entry) in table {
-            let crashes = self.crash_count(fingerprint).max(entry.crashes as usize);
-            let until_ms = entry.until_ms;
-            guilty.insert(*fingerprint, GuiltyRequest { until_ms, crashes });
-        }
-        guilty
-    }
-
     fn crash_count(&self, fingerprint: &CallFingerprint) -> usize {
         self.requests.get(fingerprint).map_or(0, BTreeSet::len)
     }
@@ -361,14 +326,14 @@
         self.crashes.get(key)?.calls.get(fingerprint)
     }
 
-    /// Returns the crashes under a request that are later than `after_ms` and that no
-    /// guilty request explains. What servers completed before that time is left out.
-    fn crashes_under(
+    /// Weighs those crashes under a request that are later than `after_ms` and that
+    /// `counts` accepts. What servers completed before that time is left out.
+    fn evidence(
         &self,
         fingerprint: &CallFingerprint,
         after_ms: u64,
-        guilty: &GuiltyRequests,
-    ) -> Vec<RequestCrash> {
+        counts: impl Fn(&TalliedCrash) -> bool,
+    ) -> CrashEvidence {
         let mut under = Vec::new();
         for key in self.requests.get(fingerprint).into_iter().flatten() {
             let Some(crash) = self.crashes.get(key) else {
@@ -377,7 +342,7 @@
             let Some(call) = crash.calls.get(fingerprint) else {
                 continue;
             };
-            if crash.at_ms <= after_ms || self.is_explained(crash, fingerprint, guilty) {
+            if crash.at_ms <= after_ms || !counts(crash) {
                 continue;
             }
             let mut request_crash = crash.request_crash(call);
@@ -390,23 +355,27 @@
             }
             under.push(request_crash);
         }
-        under
+        CrashEvidence::of(&under)
     }
 
-    /// Whether another request is known to cause crashes, was in flight at this one and
-    /// at more of them than the request in question.
+    /// Whether a request that was in flight at the crash was so at more than `crashes`
+    /// without being completed, or has been quarantined for as many.
     fn is_explained(
         &self,
         crash: &TalliedCrash,
         fingerprint: &CallFingerprint,
-        guilty: &GuiltyRequests,
+        crashes: usize,
+        table: &QuarantineTable,
     ) -> bool {
-        let crashes = self.crash_count(fingerprint);
         crash.calls.keys().any(|other| {
-            let explains = guilty.get(other).is_some_and(|other| {
-                other.crashes > crashes && crash.at_ms <= other.until_ms
-            });
-            explains && other != fingerprint
+            if other == fingerprint {
+                return false;
+            }
+            let known = table.get(other);
+            let known = known.filter(|entry| crash.at_ms <= entry.until_ms);
+            known.is_some_and(|entry| entry.crashes as usize > crashes)
+                || self.crash_count(other) > crashes
+                    && self.evidence(other, 0, |_| true).crashes > crashes
         })
     }
 }
