--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -11,8 +11,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use cowslip_core::crash_suspects::CrashSuspects;
-use cowslip_core::crash_suspects::CutCall;
 use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -23,7 +21,6 @@
 use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::ServerGate;
-use cowslip_core::server_gate::SlotOutcome;
 use cowslip_core::server_presence::PresenceRefusal;
 use cowslip_core::server_presence::ServerPresence;
 use cowslip_core::server_run::ServerRun;
@@ -34,7 +31,7 @@
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::wall_clock;
 
-use crate::crash_task::ServerCrash;
+use crate::crash_recorder::CrashRecorder;
 use crate::gate_messages::AnnounceAnswer;
 use crate::gate_messages::AnswerStatement;
 use crate::gate_messages::FoundRun;
@@ -81,14 +78,14 @@
     started_ms: u64,
     server: Option<SocketAddr>,
     cold_start: ColdStart,
-    suspects: CrashSuspects,
+    crashes: CrashRecorder,
     /// Whether the log says that the server is cold.
     cold_logged: bool,
     statement_log: StatementLog,
     /// Slots granted since the start.
     granted: u64,
     announcer: EndpointAnnouncer,
-    outputs: GateOutputs,
+    records: mpsc::UnboundedSender<EndpointRecord>,
 }
 
 /// Starts the task. It sends each change of the endpoint's record to
@@ -118,6 +115,7 @@
     let (sender, receiver) = mpsc::unbounded_channel();
     let started_ms = wall_clock::millis();
     let statement_log = StatementLog::new(Arc::clone(&endpoint.instance));
+    let crashes = CrashRecorder::new(Arc::clone(&endpoint.instance), outputs.crashes);
     let task = GateTask {
         status,
         metrics,
@@ -133,12 +131,12 @@
         started_ms,
         server: None,
         cold_start: ColdStart::default(),
-        suspects: CrashSuspects::default(),
+        crashes,
         cold_logged: false,
         statement_log,
         granted: 0,
         announcer: EndpointAnnouncer::new(started_ms),
-        outputs,
+        records: outputs.records,
     };
     actix_rt::spawn(task.run(receiver));
     sender
@@ -245,14 +243,7 @@
                 if let Some((route, work)) = self.gate.service_time(ticket) {
                     self.status.service_times.borrow_mut().insert(route, work);
                 }
-                match outcome {
-                    SlotOutcome::Answered(_) | SlotOutcome::Failed => {
-                        self.suspects.complete(now, ticket);
-                    }
-                    SlotOutcome::Cut => self.suspects.cut(now, ticket),
-                    SlotOutcome::Abandoned => self.suspects.abandon(now, ticket),
-                    SlotOutcome::Shed => self.suspects.forget(ticket),
-                }
+                self.crashes.end(now, ticket, outcome);
                 let actions = self.gate.end(now, ticket, outcome);
                 self.apply(actions);
             }
@@ -417,7 +408,7 @@
     fn set_announced(&mut self, server: AnnouncedServer) {
         let known = self.gate.announced();
         if known.is_none_or(|known| known.version != server.version) {
-            self.suspects.begin_version();
+            self.crashes.begin_version();
         }
         self.gate.announce(server);
     }
@@ -517,31 +508,7 @@
         let cold = self.gate.cold().is_cold(now);
         self.metrics.crashed(cold);
         self.gate.cold_mut().record_crash(now);
-        info!(
-            "event=server-crashed process=node instance={} cold={cold} cold_crashes={}",
-            self.endpoint.instance,
-            self.gate.cold().crashes()
-        );
-        let calls = self.suspects.crash(now);
-        for cut in &calls {
-            self.log_cut_call(cut);
-        }
-        // The reporter ends only with the node.
-        let _ = self.outputs.crashes.send(ServerCrash { calls, cold });
-    }
-
-    fn log_cut_call(&self, cut: &CutCall) {
-        let completed_ago = cut.completed_ago.map(|ago| ago.as_millis());
-        info!(
-            "event=call-cut-by-crash process=node instance={} fingerprint={} service={} route={} state={} began_ago_ms={} completed_ago_ms={}",
-            self.endpoint.instance,
-            cut.call.fingerprint,
-            cut.call.service,
-            LogValue(&cut.call.route),
-            cut.state.as_str(),
-            cut.began_ago.as_millis(),
-            completed_ago.map_or("-".to_owned(), |ago| ago.to_string())
-        );
+        self.crashes.record_crash(now, cold, self.gate.cold());
     }
 
     /// Logs the start and the end of the time in which calls to the server are
@@ -614,7 +581,7 @@
             };
             if answer.is_ok() {
                 let now = self.started.elapsed();
-                self.suspects.begin(now, ticket, waiter.suspect);
+                self.crashes.begin(now, ticket, waiter.suspect);
             }
             // A caller that stopped waiting sends `ReleaseSlot` itself.
             let _ = waiter.reply.send(answer);
@@ -637,7 +604,7 @@
             return;
         };
         // The follow task ends only with the node.
-        let _ = self.outputs.records.send(record);
+        let _ = self.records.send(record);
     }
 
     fn configure(&mut self) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call_pools;
 pub mod claim_client;
 pub mod control_watch;
+pub mod crash_recorder;
 pub mod crash_task;
 pub mod entry_handler;
 pub mod entry_task;
