Old crashes are reported less often

Reports have grown, because they contain every call that a crash cut and those that were given up: 43 KB for 16 crashes with the most calls, 14 KB/s when sent every 3 s, near what a node may spend on control. Crashes of the last 30 s are in each report, all of ten minutes in every tenth: 9 KB/s at a crash each 3 s, else 1.4 KB/s (encoded sizes; the rates are worked out). Control instances keep what they were told, so that a new leader rarely needs the old ones.

--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -10,14 +10,15 @@
 /// Crashes that a request was in flight at from which on it is taken to cause them.
 pub const CRASHES_MIN: usize = 3;
 
-const WEIGHT_MIN: usize = CRASHES_MIN * FULL_WEIGHT;
-
 /// Weight of a crash that the request was in flight at.
 const FULL_WEIGHT: usize = 2;
 
 /// Weight of a crash that something else may well have caused.
 const DOUBTFUL_WEIGHT: usize = 1;
 
+/// Weight of the crashes from which on the request is taken to cause them.
+const WEIGHT_MIN: usize = CRASHES_MIN * FULL_WEIGHT;
+
 /// Time after a crash from which on a call is taken to have begun later. Reports of
 /// crashes at the same time do not reach the leader equally fast.
 const APART_MIN: Duration = Duration::from_millis(500);
@@ -45,7 +46,7 @@
     weight: usize,
     /// Whether servers have completed it at all.
     pub completed: bool,
-    /// Whether it began again after one of these crashes and another followed.
+    /// Whether it began again after the first of these crashes and another followed.
     pub repeated: bool,
 }
 
--- a/crates/core/src/crash_suspects.rs
+++ b/crates/core/src/crash_suspects.rs
@@ -3,7 +3,7 @@
 //! Load pattern: one request crashes each server that begins it, and its caller
 //! sends it again. A crash cuts every call that was in flight, and most of them are
 //! innocent. What tells the guilty one apart is that it is in flight at one crash
-//! after another and that no server ever completes it.
+//! after another and that no server completes it in between.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -67,14 +67,14 @@
     /// Time since it got its slot.
     #[serde(default)]
     pub began_ms: u64,
-    /// Time since its connection broke.
+    /// Time since its connection broke; zero if it did not.
     #[serde(default)]
     pub broke_ms: u64,
     /// Time since the server last completed the same request.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub completed_ms: Option<u64>,
     /// Whether its caller had left or its time had run out.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub abandoned: bool,
 }
 
@@ -281,6 +281,8 @@
         reports
     }
 
+    /// Returns the quarantines to start: those of requests with enough crashes that no
+    /// other request explains.
     fn quarantines_due(&self, table: &QuarantineTable) -> Vec<QuarantineChange> {
         let mut due = Vec::new();
         for (fingerprint, keys) in &self.requests {
--- a/crates/node/src/crash_task.rs
+++ b/crates/node/src/crash_task.rs
@@ -26,6 +26,13 @@
 /// for a control instance that has just begun to lead.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Age up to which a crash is in each report. Older ones are in every tenth only: a server
+/// that crashes again and again would fill a thin link with them.
+const RECENT_AGE: Duration = Duration::from_secs(30);
+
+/// Reports of which one contains all crashes that count.
+const WHOLE_REPORT_EVERY: u64 = 10;
+
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -47,6 +54,8 @@
     control: ControlWatch,
     crashes: VecDeque<KeptCrash>,
     last_number: u64,
+    /// Reports that were sent so far.
+    reports: u64,
 }
 
 struct KeptCrash {
@@ -85,6 +94,7 @@
         crashes: VecDeque::new(),
         // The clock makes the numbers of this process differ from its predecessor's.
         last_number: wall_clock::millis(),
+        reports: 0,
     };
     actix_rt::spawn(reporter.run(crashes));
 }
@@ -150,15 +160,23 @@
         }
     }
 
-    /// Sends all recent crashes.
-    async fn report(&self) -> ReportOutcome {
-        if self.crashes.is_empty() {
+    /// Sends the recent crashes, or all that count.
+    async fn report(&mut self) -> ReportOutcome {
+        let whole = self.reports.is_multiple_of(WHOLE_REPORT_EVERY);
+        let mut crashes = Vec::new();
+        for crash in &self.crashes {
+            if whole || crash.at.elapsed() < RECENT_AGE {
+                crashes.push(crash.record());
+            }
+        }
+        self.reports += 1;
+        if crashes.is_empty() {
             return ReportOutcome::Taken;
         }
         let call = CrashCall {
             reports: vec![CrashReport {
                 node: Arc::clone(&self.node),
-                crashes: self.crashes.iter().map(KeptCrash::record).collect(),
+                crashes,
             }],
             shared: false,
         };
