The crash of a server soon after its start is found at once

What callers saw: a server that crashed within half a second of its start, as under a request that comes at once, went on being called for up to half a second more, and its crash was known to the leader that much later. The users' record has servers that end 0.4 s after their start.

Cause: a lost server is probed each 0.5 s. The probe went on after the next run had reported, asleep between two attempts, and a running probe keeps another one from starting.

Change: the first report of a run ends the probe of the run before.

--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -289,6 +289,7 @@
         let in_flight = self.gate.in_flight();
         let may_have_crashed = self.may_have_crashed();
         self.presence.announce(now, address, in_flight)?;
+        self.end_probe();
         info!(
             "event=announced process=node instance={} service={} version={} slots={}",
             self.endpoint.instance, server.service, server.version, server.slots
@@ -376,6 +377,7 @@
             );
             return;
         }
+        self.end_probe();
         info!(
             "event=run-begins process=node instance={} run={run} service={} version={} slots={}",
             self.endpoint.instance, server.service, server.version, server.slots
@@ -417,6 +419,9 @@
     /// its service, version or slots changed.
     fn continue_run(&mut self, server: AnnouncedServer) {
         let reachable_again = self.presence.mark_reachable();
+        if reachable_again {
+            self.end_probe();
+        }
         if !reachable_again && self.gate.announced() == Some(&server) {
             return;
         }
@@ -471,6 +476,12 @@
         self.probe = Some(RunningProbe::spawn(address, self.self_sender.clone()));
     }
 
+    /// Ends the probe of a lost server once a run has reported. One that sleeps between
+    /// two attempts would find the crash of that run late.
+    fn end_probe(&mut self) {
+        self.probe = None;
+    }
+
     fn handle_probe(&mut self, address: SocketAddr, result: ProbeResult) {
         // A server that comes back at another address is not found at the old one.
         if result == ProbeResult::Listening || self.server != Some(address) {
--- a/crates/node/tests/server_crashes.rs
+++ b/crates/node/tests/server_crashes.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_rt::System;
 use tokio::sync::mpsc;
@@ -25,6 +26,9 @@
 /// Time after which a condition counts as never met.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which the crash of a run must be found, well below the interval of probes.
+const FIND_TIME_MAX: Duration = Duration::from_millis(250);
+
 /// A gate and what it tells others.
 struct TestGate {
     gate: UnboundedSender<GateMessage>,
@@ -73,6 +77,12 @@
         answer.expect("the announcement is accepted");
     }
 
+    /// Tells the gate that an exchange with the server has failed.
+    fn report_unreachable(&self) {
+        let sent = self.gate.send(GateMessage::Unreachable);
+        sent.expect("the gate runs");
+    }
+
     /// Waits until the endpoint's record has this standing.
     async fn wait_for(&mut self, standing: EndpointStanding) {
         let waiting = async {
@@ -110,9 +120,7 @@
         gate.announce(address, "run-1").await;
         gate.wait_for(EndpointStanding::Serving).await;
         drop(server);
-        gate.gate
-            .send(GateMessage::Unreachable)
-            .expect("the gate runs");
+        gate.report_unreachable();
         gate.wait_for(EndpointStanding::Draining).await;
         assert_eq!(gate.crashes(), 1);
         let server = listen(address);
@@ -125,3 +133,28 @@
         drop(server);
     });
 }
+
+// Guards against a crash that is found late because the node still waits to probe the
+// server's run before: a server that crashes soon after its start goes on being called.
+#[test]
+fn a_crash_soon_after_a_start_is_found_at_once() {
+    System::new().block_on(async {
+        let server = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = server.local_addr().expect("its address");
+        let mut gate = TestGate::spawn();
+        gate.announce(address, "run-1").await;
+        drop(server);
+        gate.report_unreachable();
+        gate.wait_for(EndpointStanding::Draining).await;
+        let server = listen(address);
+        gate.announce(address, "run-2").await;
+        drop(server);
+        gate.report_unreachable();
+        let crashed = Instant::now();
+        gate.wait_for(EndpointStanding::Serving).await;
+        gate.wait_for(EndpointStanding::Draining).await;
+        let took = crashed.elapsed();
+        assert!(took < FIND_TIME_MAX, "found after {took:?}");
+        assert_eq!(gate.crashes(), 2);
+    });
+}
