Of two requests that crash the same servers both are refused at the third crash

What callers saw: beside a request that crashed all servers of a service, a second one went on crashing them once more than need be (BUDGET, 4 more where 3 are allowed).

A crash that another request explains counted for nothing, and two guilty requests explain crashes of each other.

Change: two of three crashes must not be explained.

--- a/crates/core/src/crash_evidence.rs
+++ b/crates/core/src/crash_evidence.rs
@@ -19,6 +19,10 @@
 /// Weight of the crashes from which on the request is taken to cause them.
 const WEIGHT_MIN: usize = CRASHES_MIN * FULL_WEIGHT;
 
+/// Weight that crashes must have which no other request explains. Two of three: where two
+/// requests crash the same servers, each is in flight at crashes of the other.
+const OWN_WEIGHT_MIN: usize = (CRASHES_MIN - 1) * FULL_WEIGHT;
+
 /// Time after a crash from which on a call is taken to have begun later. Reports of
 /// crashes at the same time do not reach the leader equally fast.
 const APART_MIN: Duration = Duration::from_millis(500);
@@ -82,6 +86,12 @@
         self.weight >= WEIGHT_MIN && (self.repeated || !self.completed)
     }
 
+    /// Whether these crashes, which no other request explains, are enough of those that
+    /// the request was in flight at.
+    pub fn is_own(&self) -> bool {
+        self.weight >= OWN_WEIGHT_MIN
+    }
+
     /// Whether a request that was taken to cause crashes before causes them again.
     pub fn is_relapse(&self) -> bool {
         self.weight >= FULL_WEIGHT && !self.completed
--- a/crates/core/src/crash_tally.rs
+++ b/crates/core/src/crash_tally.rs
@@ -293,13 +293,14 @@
             }
             let ended_ms = known.map_or(0, |entry| entry.until_ms);
             let earlier = known.map_or(0, |entry| entry.crashes);
-            let later = self.evidence(fingerprint, ended_ms, |_| true).crashes;
-            let crashes = later + earlier as usize;
-            let evidence = self.evidence(fingerprint, ended_ms, |crash| {
+            let evidence = self.evidence(fingerprint, ended_ms, |_| true);
+            let crashes = evidence.crashes + earlier as usize;
+            let own = self.evidence(fingerprint, ended_ms, |crash| {
                 !self.is_explained(crash, fingerprint, crashes, table)
             });
-            let relapsed = known.is_some() && evidence.is_relapse();
-            if !relapsed && !evidence.is_conclusive() {
+            let relapsed = known.is_some() && own.is_relapse();
+            let guilty = relapsed || evidence.is_conclusive() && own.is_own();
+            if !guilty {
                 continue;
             }
             let call = keys.iter().find_map(|key| self.call(key, fingerprint));
