--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -39,7 +39,8 @@
 /// Version of all backend servers.
 pub const VERSION: &str = "v1";
 
-/// Start of the path of a request that crashes the server; its number follows.
+/// Start of the path of a request that crashes the server; the time from which on it does
+/// follows, in milliseconds from the start of the run.
 pub const CRASHING_PATH: &str = "/work/crash-";
 
 /// Header of an answer with the indexes of the statement spans it belongs to,
@@ -214,10 +215,12 @@
         return http_reply::text(status, "another run of this server");
     }
     state.record_request(&id);
-    if let Some(number) = crashing_request(request.path()) {
-        state.crash(number);
-        // The crash breaks the connection.
-        std::future::pending::<()>().await;
+    if let Some(from_ms) = crashing_request(request.path()) {
+        if state.started.elapsed() >= Duration::from_millis(from_ms) {
+            state.crash(from_ms);
+            // The crash breaks the connection.
+            std::future::pending::<()>().await;
+        }
     }
     let body = match http_reply::read_body(&mut request, BODY_BYTES_MAX).await {
         Ok(body) => body,
@@ -241,7 +244,7 @@
     reply
 }
 
-/// Returns the number in the path of a request that crashes servers.
+/// Returns the time in the path of a request that crashes servers.
 fn crashing_request(path: &str) -> Option<u64> {
     path.strip_prefix(CRASHING_PATH)?.parse().ok()
 }
@@ -288,10 +291,10 @@
         }
     }
 
-    fn crash(&self, number: u64) {
+    fn crash(&self, from_ms: u64) {
         self.crashed.set(true);
         let crashes = &mut self.observations.borrow_mut().crashes;
-        crashes.entry(number).or_default().push(ServerCrash {
+        crashes.entry(from_ms).or_default().push(ServerCrash {
             server: self.number,
             at: self.started.elapsed(),
         });
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -128,9 +128,9 @@
     Leave(usize, Duration),
     /// Evacuates a failure domain and ends that again.
     Evacuate(usize, Duration),
-    /// Sends a request again and again that crashes each backend server that begins
-    /// it.
-    CrashingRequest(Duration),
+    /// Sends a request again and again that backend servers complete for the first of
+    /// these times, and that crashes each server that begins it for the second.
+    CrashingRequest(Duration, Duration),
     /// Makes all backend servers fail half of their calls.
     FailCalls(Duration),
     /// Kills all processes at once and restarts them.
@@ -160,12 +160,12 @@
             | Self::Limit(_, _, time)
             | Self::Leave(_, time)
             | Self::Evacuate(_, time)
-            | Self::CrashingRequest(time)
             | Self::FailCalls(time)
             | Self::Wipe(_, time)
             | Self::Replace(_, time)
             | Self::KillAll(time) => *time,
             Self::ReplaceAndKillAll(_, time) => *time * 2,
+            Self::CrashingRequest(served, time) => *served + *time,
             Self::Stop(_, time) => *time + PLANNED_STOP_TIMEOUT,
             Self::Reload(_) => Duration::ZERO,
         }
@@ -201,6 +201,10 @@
 /// the effects of most other faults last.
 const CRASHING_REQUEST_SHARE: f64 = 0.4;
 
+/// Share of these requests that servers complete first, and for how long.
+const SERVED_FIRST_SHARE: f64 = 0.5;
+const SERVED_TIME: Duration = Duration::from_secs(2);
+
 /// Share of the seeds in which servers fail calls.
 const FAILED_CALLS_SHARE: f64 = 0.5;
 
@@ -267,7 +271,11 @@
     }
     let at = time.mul_f64(random.random_range(0.0..0.6));
     let duration = Duration::from_millis(random.random_range(8_000..16_000));
-    let fault = Fault::CrashingRequest(duration);
+    let served = match random.random_bool(SERVED_FIRST_SHARE) {
+        true => SERVED_TIME,
+        false => Duration::ZERO,
+    };
+    let fault = Fault::CrashingRequest(served, duration);
     Some(TimedFault { at, fault })
 }
 
--- a/soak/src/observations.rs
+++ b/soak/src/observations.rs
@@ -183,7 +183,8 @@
     pub statements: Vec<StatementSpan>,
     /// Evacuations that a control instance answered as accepted.
     pub evacuations: Vec<EvacuationSpan>,
-    /// Crashes of backend servers, by the number of the request that crashed them.
+    /// Crashes of backend servers, by the time in the path of the request that crashed
+    /// them.
     pub crashes: BTreeMap<u64, Vec<ServerCrash>>,
     /// Times in which nodes were paused.
     pub pauses: Vec<NodePause>,
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -386,8 +386,8 @@
                 self.evacuate(domain, time).await;
                 return Ok(());
             }
-            Fault::CrashingRequest(time) => {
-                self.send_crashing_request(time).await;
+            Fault::CrashingRequest(served, time) => {
+                self.send_crashing_request(served, time).await;
                 return Ok(());
             }
             Fault::FailCalls(time) => {
--- a/soak/src/soak_run/crashing_request.rs
+++ b/soak/src/soak_run/crashing_request.rs
@@ -1,4 +1,5 @@
-//! A request that crashes the backend servers that begin it.
+//! A request that crashes the backend servers that begin it, at once or after they have
+//! completed it for a while.
 
 use std::time::Duration;
 
@@ -20,17 +21,17 @@
 const CRASHING_HOST: &str = "records.example";
 
 impl SoakRun {
-    /// Sends a request that crashes servers to one node after another for `time`, and
-    /// brings each crashed server back.
-    pub(super) async fn send_crashing_request(&self, time: Duration) {
-        let from = self.started.elapsed();
-        let number = from.as_millis() as u64;
+    /// Sends a request to one node after another that servers complete for `served` and
+    /// that crashes them for `time` from then on, and brings each crashed server back.
+    pub(super) async fn send_crashing_request(&self, served: Duration, time: Duration) {
+        let from = self.started.elapsed() + served;
+        let from_ms = from.as_millis() as u64;
         let client = awc::Client::builder().timeout(CRASHING_TIMEOUT).finish();
         for node in self.fleet.nodes.iter().cycle() {
             if self.started.elapsed() > from + time {
                 return;
             }
-            let url = format!("http://{}{CRASHING_PATH}{number}", node.callers);
+            let url = format!("http://{}{CRASHING_PATH}{from_ms}", node.callers);
             let request = client.get(url).insert_header((HOST, CRASHING_HOST));
             let attempt = actix_rt::spawn(request.send());
             // A crashed server is to break its connections while the caller waits.
--- a/soak/src/soak_run/fault_effects.rs
+++ b/soak/src/soak_run/fault_effects.rs
@@ -46,6 +46,6 @@
         | Fault::Leave(..)
         | Fault::Evacuate(..)
         | Fault::FailCalls(_)
-        | Fault::CrashingRequest(_) => None,
+        | Fault::CrashingRequest(..) => None,
     }
 }
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -52,6 +52,15 @@
     run_seed(7113, 20);
 }
 
+// Guards against a request that is never suspected because servers completed it before
+// its data went bad.
+#[test]
+fn a_request_that_goes_bad_is_refused() {
+    let served = Duration::from_secs(2);
+    let crashing = Fault::CrashingRequest(served, Duration::from_secs(10));
+    run_faults(48, &[at_millis(1_000, crashing)]);
+}
+
 fn at_millis(millis: u64, fault: Fault) -> TimedFault {
     let at = Duration::from_millis(millis);
     TimedFault { at, fault }
