--- a/crates/node/src/follow_task.rs
+++ b/crates/node/src/follow_task.rs
@@ -92,6 +92,9 @@
 /// shorter than that of a poll.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time past the poll wait after which a poll is logged as late.
+const POLL_DELAY_LOGGED: Duration = Duration::from_millis(200);
+
 /// Options of the follow task.
 pub struct FollowOptions {
     /// Name of the node's instance.
@@ -230,7 +233,12 @@
     async fn run(mut self) {
         loop {
             self.update_controls();
+            let asked = Instant::now();
             let outcome = self.poll().await;
+            let took = asked.elapsed();
+            if took > self.timing.wait + POLL_DELAY_LOGGED {
+                self.log_late_poll(took);
+            }
             self.options.metrics.update(self.versions.counts());
             let wait = match outcome {
                 Ok(PollOutcome::Stay) => {
@@ -262,8 +270,10 @@
                 Err(error) => {
                     self.options.metrics.count_failure();
                     warn!(
-                        "event=follow-failed process=node control={} error={}",
+                        "event=follow-failed process=node control={} held={} took_ms={} error={}",
                         self.ring.current(),
+                        self.versions.held(),
+                        took.as_millis(),
                         LogValue(error)
                     );
                     self.switch_source("failed")
@@ -273,6 +283,18 @@
         }
     }
 
+    /// Logs a poll that ended later than a control instance holds it: a delay of the
+    /// instance, of the network or of this node.
+    fn log_late_poll(&self, took: Duration) {
+        info!(
+            "event=poll-late process=node control={} held={} took_ms={} wait_ms={}",
+            self.ring.current(),
+            self.versions.held(),
+            took.as_millis(),
+            self.timing.wait.as_millis()
+        );
+    }
+
     /// Applies changed addresses.
     ///
     /// Guards against a node whose control instances were all replaced while it
