A ready response behind a slow body keeps no processor busy

A connection that writes a slow body while the next pipelined response is ready polled itself without end: the ready response completed the wait each time, though it cannot be written yet. The wait for the oldest response does not complete while an earlier body is written.

--- a/crates/wire/src/pipelined_connection.rs
+++ b/crates/wire/src/pipelined_connection.rs
@@ -16,6 +16,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
@@ -254,8 +255,8 @@
         let deadline = self.deadline();
         let has_input_space = self.input.len() < INPUT_BYTES_MAX;
         let has_output = !self.output.is_empty();
-        let wants_chunk =
-            self.reply_body.is_some() && self.output.len() < OUTPUT_BYTES_MAX;
+        let is_writing = self.reply_body.is_some();
+        let wants_chunk = is_writing && self.output.len() < OUTPUT_BYTES_MAX;
         let read_bytes = match &self.body_decoder {
             Some(_) => BODY_READ_BYTES,
             None => HEAD_READ_BYTES,
@@ -287,7 +288,7 @@
             }
             // Polled before the read: a response that is ready is sent even if
             // the caller has already shut down its sending side.
-            () = oldest_ready(exchanges) => {}
+            () = oldest_ready(exchanges, is_writing) => {}
             () = handler_capacity(body_decoder) => {}
             read = read_ready(reader, input, read_bytes), if has_input_space => {
                 return self.input_received(read?);
@@ -394,9 +395,14 @@
     }
 }
 
-/// Completes when the oldest request has its response. Polls all requests.
-async fn oldest_ready(exchanges: &mut VecDeque<PipelinedExchange>) {
-    poll_fn(|cx| pipelined_exchange::poll_all(exchanges, cx)).await;
+/// Polls all requests. Completes when the oldest has its response, unless an earlier
+/// one `is_writing`.
+async fn oldest_ready(exchanges: &mut VecDeque<PipelinedExchange>, is_writing: bool) {
+    poll_fn(|cx| match pipelined_exchange::poll_all(exchanges, cx) {
+        Poll::Ready(()) if !is_writing => Poll::Ready(()),
+        _ => Poll::Pending,
+    })
+    .await;
 }
 
 async fn sleep_until(deadline: Option<BootInstant>) {
--- a/crates/wire/tests/pipelined_connection.rs
+++ b/crates/wire/tests/pipelined_connection.rs
@@ -1,16 +1,23 @@
 //! Connections with concurrent request pipelining.
 
 use std::cell::Cell;
+use std::future::poll_fn;
+use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_http::body::BoxBody;
+use actix_http::body::SizedStream;
+use actix_http::error::PayloadError;
 use actix_http::ConnectionType;
 use actix_http::Request;
+use actix_http::Response;
 use actix_http::StatusCode;
 use actix_rt::System;
+use bytes::Bytes;
 use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -99,6 +106,29 @@
     }
 }
 
+/// Answers `/slow` with a body that takes as long as other requests, and counts how
+/// often that is polled; answers others at once.
+struct SlowBodyHandler(Rc<Cell<u32>>);
+
+impl HttpHandler for SlowBodyHandler {
+    fn handle(&self, request: Request) -> ReplyFuture {
+        if request.path() != "/slow" {
+            let reply = http_reply::text(StatusCode::OK, "/ready");
+            return Box::pin(async move { reply });
+        }
+        let polls = Rc::clone(&self.0);
+        let mut end = Box::pin(actix_rt::time::sleep(DEFAULT_DELAY));
+        let body = futures_util::stream::once(poll_fn(move |cx| {
+            polls.set(polls.get() + 1);
+            let end = end.as_mut().poll(cx);
+            end.map(|()| Ok::<_, PayloadError>(Bytes::from_static(b"/slow\n")))
+        }));
+        let body = BoxBody::new(SizedStream::new(6, body));
+        let reply = Response::new(StatusCode::OK).set_body(body);
+        Box::pin(async move { reply })
+    }
+}
+
 fn listener(handler: DelayedHandler, timeouts: ListenerTimeouts) -> HttpListener {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let socket = std::net::TcpListener::bind(any).unwrap();
@@ -416,3 +446,24 @@
         }
     });
 }
+
+// Guards against a connection that keeps the processor busy while a ready response waits
+// for the body of the one before it.
+#[test]
+fn a_ready_response_behind_a_slow_body_waits_without_polling() {
+    System::new().block_on(async {
+        let polls = Rc::new(Cell::new(0));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let socket = std::net::TcpListener::bind(any).unwrap();
+        let (_, timeouts) = watch::channel(default_timeouts());
+        let handler = Rc::new(SlowBodyHandler(Rc::clone(&polls)));
+        let listener =
+            HttpListener::spawn_pipelined(socket, 1, handler, timeouts).unwrap();
+        let mut caller = TcpStream::connect(listener.address()).await.unwrap();
+        let requests = [get("/slow"), get("/ready")].concat();
+        caller.write_all(&requests).await.unwrap();
+        let answers = read_responses(&mut caller, 2).await;
+        assert!(answers.contains("/slow") && answers.contains("/ready"));
+        assert!(polls.get() < 10, "polled {} times", polls.get());
+    });
+}
