A node's answers no longer fill its machine's link

Cause: what a node hands to the kernel leaves in order of arrival. Answers of its server filled a link of 6 Mbit/s for seconds, and polls and openings of connections to control instances waited behind them. The node took its own delay for a dead source, left a connection that worked and could open no other.

Change: answers wait before the link instead of on it. LinkSchedule (core) releases parts of 8 KB while at most 50 ms of the link are under way, first parts before later ones; LinkPacer (node) wraps the callers' and the peers' listeners. Messages of the system are not paced.

--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -19,6 +19,7 @@
 pub mod fair_tags;
 pub mod fleet_servers;
 pub mod late_call_limit;
+pub mod link_schedule;
 pub mod outlier_detector;
 pub mod queue_order;
 pub mod repeat_probability;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod hop;
 pub mod install_hooks;
 pub mod keyed_call;
+pub mod link_pacer;
 pub mod local_handler;
 pub mod node_daemon;
 pub mod node_settings;
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -46,6 +46,7 @@
 use crate::gate_task;
 use crate::holder_task;
 use crate::install_hooks::InstallHooks;
+use crate::link_pacer::LinkPacer;
 use crate::local_handler::LocalHandler;
 use crate::node_settings::NodeSettings;
 use crate::node_stage::NodeStage;
@@ -310,19 +311,25 @@
         let admin_handler =
             AdminHandler::new(Rc::new(registry), Rc::new(Cell::new(true)));
         let admin_handler = (middleware.admin)(status, Rc::new(admin_handler));
+        let own = settings.peer_listen.ip();
+        let pacer = settings.link_mbps.map(LinkPacer::spawn);
+        let paced = |handler: Rc<dyn HttpHandler>| match &pacer {
+            Some(pacer) => pacer.wrap(own, handler),
+            None => handler,
+        };
         let listen = HttpListener::spawn;
         let daemon = Self {
             callers: HttpListener::spawn_pipelined(
                 sockets.callers,
                 CALLER_CONNECTIONS_MAX,
-                Rc::new(callers),
+                paced(Rc::new(callers)),
                 timeouts_watch,
             )?,
             local: listen(sockets.local, CONNECTIONS_MAX, local)?,
             peer: listen(
                 sockets.peer,
                 CONNECTIONS_MAX,
-                Rc::new(PeerHandler::new(peer_proxy)),
+                paced(Rc::new(PeerHandler::new(peer_proxy))),
             )?,
             admin: listen(sockets.admin, ADMIN_CONNECTIONS_MAX, admin_handler)?,
             gate,
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -57,6 +57,9 @@
     pub service: Option<Arc<str>>,
     /// Address of the backend server, if set.
     pub server: Option<SocketAddr>,
+    /// Bandwidth of the machine's link, in megabits a second. Answers are sent no
+    /// faster, so that they do not delay other messages; if absent, they are not paced.
+    pub link_mbps: Option<f64>,
     /// Longest total time of a planned stop, during whose notice the node keeps
     /// serving. If absent, a stop takes as long as the calls in flight need.
     pub stop_within: Option<Duration>,
@@ -87,6 +90,7 @@
             evidence_pause: EVIDENCE_PAUSE,
             service: None,
             server: None,
+            link_mbps: None,
             stop_within: None,
         }
     }
@@ -112,6 +116,7 @@
         let service =
             reader.optional::<String>("service", "the backend server's service");
         let server = reader.optional("server", ADDRESS);
+        let link_mbps = read_link_mbps(reader);
         let stop_within = reader.optional("stop_within", "a time such as 30s");
         if controls.is_empty() {
             reader.fault("controls", "names no control instance; write at least one");
@@ -133,7 +138,20 @@
                 .map_or(EVIDENCE_PAUSE, |SettingsDuration(pause)| pause),
             service: service.map(Arc::from),
             server,
+            link_mbps,
             stop_within: stop_within.map(|SettingsDuration(within)| within),
         })
     }
 }
+
+fn read_link_mbps(reader: &mut SettingsReader<'_>) -> Option<f64> {
+    let mbps = reader.optional::<f64>("link_mbps", "megabits a second such as 100")?;
+    if mbps.is_finite() && mbps > 0.0 {
+        return Some(mbps);
+    }
+    reader.fault(
+        "link_mbps",
+        format!("{mbps} is no bandwidth; write more than 0"),
+    );
+    None
+}
--- a/crates/node/tests/narrow_link.rs
+++ b/crates/node/tests/narrow_link.rs
@@ -199,10 +199,17 @@
     (response.status().as_u16(), body.map(|body| body.len()))
 }
 
+/// Calls `path` and returns the status, as soon as the head of the answer arrives.
+async fn call_for_status(node: SocketAddr, path: &str) -> Option<StatusCode> {
+    let client = Client::builder().timeout(TIMEOUT).finish();
+    let response = client.get(format!("http://{node}{path}")).send().await;
+    response.ok().map(|response| response.status())
+}
+
 /// Calls `path` until the node knows its route; returns how long that took.
 async fn wait_for_route(node: SocketAddr, path: &str) -> Duration {
     let started = Instant::now();
-    while call(node, path).await.0 != StatusCode::OK.as_u16() {
+    while call_for_status(node, path).await != Some(StatusCode::OK) {
         assert!(started.elapsed() < TIMEOUT, "{path} is not served");
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
@@ -234,6 +241,7 @@
         let settings = NodeSettings {
             callers_listen: callers_address,
             follow_wait: FOLLOW_WAIT,
+            link_mbps: Some(LINK_MBPS),
             ..NodeSettings::on_loopback(
                 "node-1".into(),
                 "voss".into(),
