A control instance confirms no version that it knows to be behind

The proof counts now only if the version held is at least the one it names; otherwise leader-ahead is logged.

Test a_relay_that_is_behind_the_leader_confirms_nothing: confirmed before, not confirmed and not fresh since.

--- a/crates/control/src/fanout_task.rs
+++ b/crates/control/src/fanout_task.rs
@@ -267,8 +267,16 @@
             run: update.run,
         };
         let previous = self.source.current().version;
+        let proved = update.source.version;
         self.source.install(now, update);
         self.log_version(previous, "leader");
+        let held = self.source.current().version;
+        if held < proved {
+            info!(
+                "event=leader-ahead process=control instance={} held={held} leader_version={proved}",
+                self.instance
+            );
+        }
     }
 
     /// Logs the version that followers are sent if it is another than `previous`.
--- a/crates/core/src/update_source.rs
+++ b/crates/core/src/update_source.rs
@@ -380,10 +380,14 @@
 
     /// Applies an update from the leader.
     pub fn install(&mut self, now: Duration, update: LeaderUpdate) {
-        self.freshness.record_proof(update.sent_at, &update.source);
         if let Some(snapshot) = update.snapshot {
             self.publish(now, snapshot);
         }
+        // The leader's version may not have come along, as when its snapshot was damaged
+        // or is no longer held. Its proof says nothing about the version held here.
+        if self.current().version >= update.source.version {
+            self.freshness.record_proof(update.sent_at, &update.source);
+        }
         for record in update.endpoints {
             self.merge(now, record);
         }
--- a/crates/core/tests/update_source.rs
+++ b/crates/core/tests/update_source.rs
@@ -471,6 +471,38 @@
     assert_eq!(late.source.fresh_ms, 0);
 }
 
+// Guards against an instance that confirms the version it holds by the leader's proof of
+// a newer one, whose snapshot did not reach it.
+#[test]
+fn a_relay_that_is_behind_the_leader_confirms_nothing() {
+    let mut leader = leader();
+    leader.publish(ms(0), snapshot(5));
+    let mut relay = source("control-2", 2);
+    exchange(&mut leader, &mut relay, ms(20), 1);
+    leader.publish(ms(5_000), snapshot(16));
+    let request = equal_digest(&leader);
+    leader.follow(ms(8_000), call("relay", 5, request));
+    let reply = due(&mut leader, ms(8_100)).0.remove(0).1;
+    let newest = updates(reply);
+    assert_eq!(newest.source.version, at(16));
+    let id = relay.follow(ms(8_000), call("a", 0, equal_digest(&relay)));
+    let update = LeaderUpdate {
+        sent_at: ms(8_000),
+        source: newest.source,
+        snapshot: None,
+        endpoints: Vec::new(),
+        run: 1,
+    };
+    relay.install(ms(8_110), update);
+    assert_eq!(due(&mut relay, ms(8_110)).0.len(), 0);
+    let (answers, _) = due(&mut relay, ms(12_000));
+    let own = answers.into_iter().find(|(to, _)| *to == id);
+    let behind = updates(own.expect("the wait is over").1);
+    assert_eq!(behind.source.version, at(5));
+    assert!(!behind.source.confirmed);
+    assert_eq!(behind.source.fresh_ms, 0);
+}
+
 // Guards against a refused version that operators do not see, and against
 // sending it to the same node repeatedly. The change's progress counts the
 // refusal, and the change is not done.
