Soak: nodes pace their answers to a link

Paced answers were not among what the soak stops, restarts and cuts. Four megabits a second let the answers of a burst wait for each other; answers to other nodes leave from the same machine and are not paced. Product code unchanged.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -36,6 +36,10 @@
 
 const SYSTEM_KEY: &str = "soak-system";
 
+/// Bandwidth to which the nodes pace their answers to callers, in megabits a second.
+/// Those of a burst wait for each other.
+const LINK_MBPS: u32 = 4;
+
 /// Last octet of the loopback address of the first successor of a control
 /// instance.
 const FIRST_SUCCESSOR: usize = 140;
@@ -317,7 +321,7 @@
             "instance: node-{at}\nfailure_domain: {}\ncallers_listen: {}\n\
              local_listen: {}\npeer_listen: {peer_listen}\npeer_address: {peer_address}\n\
              admin_listen: {}\ncontrols: [{}]\n\
-             system_key: {SYSTEM_KEY}\nfollow_wait: 400ms\n",
+             system_key: {SYSTEM_KEY}\nfollow_wait: 400ms\nlink_mbps: {LINK_MBPS}\n",
             failure_domain(at % CONTROLS),
             addresses.callers,
             addresses.local,
