The link of the narrow-link test binds no port that it gives away

The test reserved the callers' port by binding and closing it; another test could take it in between. The route learns the node's address after the node has bound it.

--- a/crates/node/tests/narrow_link.rs
+++ b/crates/node/tests/narrow_link.rs
@@ -224,22 +224,14 @@
     let control = spawn_control(published);
     System::new().block_on(async {
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-        let callers = std::net::TcpListener::bind(listen).expect("a free port");
-        let callers_address = callers.local_addr().expect("its address");
-        drop(callers);
-        let routes = vec![
-            LinkRoute {
-                target: control,
-                opened_by_node: true,
-            },
-            LinkRoute {
-                target: callers_address,
-                opened_by_node: false,
-            },
-        ];
+        let to_control = LinkRoute {
+            target: Arc::new(control.into()),
+            opened_by_node: true,
+        };
+        let to_node = LinkRoute::default();
+        let routes = vec![to_control, to_node.clone()];
         let link = narrow_link::spawn(LINK_MBPS * 1e6, routes);
         let settings = NodeSettings {
-            callers_listen: callers_address,
             follow_wait: FOLLOW_WAIT,
             link_mbps: Some(LINK_MBPS),
             ..NodeSettings::on_loopback(
@@ -251,6 +243,7 @@
         };
         let sockets = NodeSockets::bind(&settings).expect("free ports");
         let node = NodeDaemon::spawn(&settings, sockets, 0).expect("a node");
+        to_node.target.set(node.callers()).expect("it is not set");
         let server = HttpListener::bind(listen, CALLERS, Rc::new(LargeAnswers));
         let server = server.expect("a free port");
         announce(&node, server.address()).await;
--- a/crates/node/tests/support/narrow_link.rs
+++ b/crates/node/tests/support/narrow_link.rs
@@ -3,6 +3,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
 
@@ -24,10 +26,10 @@
 const FAR_MACHINE: [u8; 4] = [127, 0, 0, 2];
 
 /// One end of a link: a listen address on loopback and where it leads.
-#[derive(Clone, Copy)]
+#[derive(Clone, Default)]
 pub struct LinkRoute {
-    /// Address behind the link.
-    pub target: SocketAddr,
+    /// Address behind the link; set before the first connection.
+    pub target: Arc<OnceLock<SocketAddr>>,
     /// True if the node opens the connections, and so sends on their way out.
     pub opened_by_node: bool,
 }
@@ -81,11 +83,13 @@
             continue;
         };
         let queue = queue.clone();
+        let opened_by_node = route.opened_by_node;
+        let target = *route.target.get().expect("the test has set the address");
         actix_rt::spawn(async move {
-            let Ok(behind) = connect(route.target).await else {
+            let Ok(behind) = connect(target).await else {
                 return;
             };
-            let (near, far) = if route.opened_by_node {
+            let (near, far) = if opened_by_node {
                 (stream, behind)
             } else {
                 (behind, stream)
