--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -38,7 +38,7 @@
 
 /// Bandwidth to which the nodes pace their answers to callers, in megabits a second.
 /// Those of a burst wait for each other.
-const LINK_MBPS: u32 = 4;
+const LINK_MBPS: u32 = 1;
 
 /// Last octet of the loopback address of the first successor of a control
 /// instance.
