--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -11,6 +11,7 @@
 mod template;
 
 mod nested_prefix;
+mod pipeline_cut;
 
 use std::path::Path;
 use std::process::exit;
@@ -35,6 +36,7 @@
     let trouble = trouble != "0";
     record.line(format!("case {name}, trouble {trouble}"));
     let verdict = match name.as_str() {
+        "pipeline-cut" => pipeline_cut::run(&record, trouble),
         "nested-prefix" => nested_prefix::run(&record, trouble),
         _ => Verdict::NotRun,
     };
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -1,5 +1,6 @@
 //! A sound backend server, as PROTOCOL.md describes it.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -22,6 +23,10 @@
 /// Requests that a server processes at once, as on the site mielnet-co.
 const SLOTS: u32 = 6;
 
+/// Paths with large answers, and their size: the mean of cert-download on that site.
+pub const LARGE_PREFIX: &str = "/certs/";
+const LARGE_BYTES: usize = 280_000;
+
 /// Interval of the liveness reports.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -52,6 +57,9 @@
     ended: AtomicBool,
     /// Every n-th answer is lost; none if zero.
     pub lose_every: AtomicU64,
+    /// Every n-th large answer breaks off; none if zero.
+    pub cut_every: AtomicU64,
+    large_here: AtomicU64,
     pub record: Arc<Record>,
     runs: Arc<Mutex<Vec<Run>>>,
 }
@@ -88,6 +96,8 @@
             leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             lose_every: AtomicU64::new(0),
+            cut_every: AtomicU64::new(0),
+            large_here: AtomicU64::new(0),
             record,
             runs,
         });
@@ -216,9 +226,37 @@
         if leaving {
             headers.push(("Server-Leaving", "1"));
         }
+        if path.starts_with(LARGE_PREFIX) {
+            return self.answer_large(stream, id, &headers);
+        }
         http::write(stream, "HTTP/1.1 200 OK", &headers, b"the whole answer").is_ok()
     }
 
+    /// Sends a large answer, or a part of it before it closes the connection.
+    fn answer_large(
+        &self,
+        mut stream: &TcpStream,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> bool {
+        let number = self.large_here.fetch_add(1, Ordering::SeqCst) + 1;
+        let cut_every = self.cut_every.load(Ordering::SeqCst);
+        let is_cut = cut_every > 0 && number % cut_every == 0;
+        let body = vec![b'c'; LARGE_BYTES];
+        if !is_cut {
+            return http::write(stream, "HTTP/1.1 200 OK", headers, &body).is_ok();
+        }
+        self.record.line(format!("answer breaks off {id} at {}", self.id));
+        let mut head = String::from("HTTP/1.1 200 OK\r\n");
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("Content-Length: {LARGE_BYTES}\r\n\r\n"));
+        let sent = stream.write_all(head.as_bytes());
+        let _ = sent.and_then(|()| stream.write_all(&body[..LARGE_BYTES / 4 * 3]));
+        false
+    }
+
     fn refuse(&self, stream: &TcpStream, status: &str, id: &str) -> bool {
         let mut headers = vec![("Not-Executed", "1")];
         if !id.is_empty() {
