--- a/review/stand-ins/caller.rs
+++ b/review/stand-ins/caller.rs
@@ -11,8 +11,10 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub request: String,
-    pub sent_ms: u64,
     pub status: u16,
+    /// The server's stamp, if the answer has one.
+    pub stamp: Option<String>,
+    pub body: String,
 }
 
 /// Sends a request to a node and records its answer.
@@ -28,11 +30,15 @@
     let deadline_ms = deadline.as_millis().to_string();
     let headers =
         [("Host", host), ("Request-Id", id), ("Deadline-Ms", deadline_ms.as_str())];
-    let sent_ms = record.now_ms();
     record.line(format!("send {id} {method} {path} to {node}"));
     let start = format!("{method} {path}");
     let answer = http::send(node, &start, &headers, b"a batch of honey", deadline);
-    let status = answer.map_or(0, |answer| answer.status());
-    record.line(format!("answer {id} {status}"));
-    Answer { request: id.to_owned(), sent_ms, status }
+    let answer = answer.ok();
+    let status = answer.as_ref().map_or(0, |answer| answer.status());
+    let stamp = answer.as_ref().and_then(|answer| answer.header("server-stamp"));
+    let stamp = stamp.map(str::to_owned);
+    let body = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+    let body = body.unwrap_or_default();
+    record.line(format!("answer {id} {status} {stamp:?} {:?}", body.trim()));
+    Answer { request: id.to_owned(), status, stamp, body }
 }
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -60,6 +60,9 @@
     /// Every n-th large answer breaks off; none if zero.
     pub cut_every: AtomicU64,
     large_here: AtomicU64,
+    /// After every n-th answer further bytes come, late; none if zero.
+    pub extra_every: AtomicU64,
+    answered_here: AtomicU64,
     pub record: Arc<Record>,
     runs: Arc<Mutex<Vec<Run>>>,
 }
@@ -98,6 +101,8 @@
             lose_every: AtomicU64::new(0),
             cut_every: AtomicU64::new(0),
             large_here: AtomicU64::new(0),
+            extra_every: AtomicU64::new(0),
+            answered_here: AtomicU64::new(0),
             record,
             runs,
         });
@@ -172,14 +177,37 @@
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
         let mut reader = MessageReader::new(stream);
+        let mut extra: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = reader.next(false) {
             if self.ended.load(Ordering::SeqCst) {
                 return;
             }
+            if let Some(bytes) = extra.take() {
+                self.record.line(format!("further bytes from {}", self.id));
+                if reader.stream.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
             if !self.answer(&reader.stream, &request) {
                 return;
             }
+            extra = self.extra_bytes(&request);
+        }
+    }
+
+    /// Bytes that follow the answer to `request`, if this is one of those answers: the
+    /// answer once more, without the line of its Request-Id. They are late, and arrive
+    /// where the next answer is expected.
+    fn extra_bytes(&self, request: &Message) -> Option<Vec<u8>> {
+        let id = request.header("request-id")?;
+        let number = self.answered_here.fetch_add(1, Ordering::SeqCst) + 1;
+        let every = self.extra_every.load(Ordering::SeqCst);
+        if every == 0 || number % every != 0 {
+            return None;
         }
+        let body = answer_body(id);
+        let length = body.len();
+        Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes())
     }
 
     /// Answers a request; false if the connection ends.
@@ -229,7 +257,7 @@
         if path.starts_with(LARGE_PREFIX) {
             return self.answer_large(stream, id, &headers);
         }
-        http::write(stream, "HTTP/1.1 200 OK", &headers, b"the whole answer").is_ok()
+        http::write(stream, "HTTP/1.1 200 OK", &headers, answer_body(id).as_bytes()).is_ok()
     }
 
     /// Sends a large answer, or a part of it before it closes the connection.
@@ -268,3 +296,8 @@
         http::write(stream, &format!("HTTP/1.1 {status}"), &headers, b"not run").is_ok()
     }
 }
+
+/// The whole body of the answer to a request.
+pub fn answer_body(id: &str) -> String {
+    format!("the answer to {id}")
+}
