--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -86,7 +86,7 @@
         self.address(Ports::OUTBOUND)
     }
 
-    pub fn ready(&self) -> SocketAddr {
+    fn ready(&self) -> SocketAddr {
         self.address(Ports::READY)
     }
 
@@ -103,7 +103,7 @@
     }
 
     /// Sends a signal, such as `KILL`, to the process.
-    pub fn signal(&self, name: &str) {
+    fn signal(&self, name: &str) {
         let Some(process) = &self.process else {
             return;
         };
@@ -112,16 +112,27 @@
     }
 
     /// Waits for the end of the process.
-    pub fn wait(&mut self) {
+    fn wait(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.wait();
         }
     }
 
-    /// True if the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let process = self.process.as_mut();
-        process.is_some_and(|process| matches!(process.try_wait(), Ok(Some(_))))
+    /// The most memory that the process has used since its start, without what its
+    /// program file backs, in kilobytes; 0 if it does not run.
+    pub fn memory_kb(&self) -> u64 {
+        let Some(process) = &self.process else {
+            return 0;
+        };
+        let path = format!("/proc/{}/status", process.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let field = |name: &str| {
+            let mut lines = status.lines();
+            let line = lines.find_map(|line| line.strip_prefix(name));
+            let words = line.unwrap_or_default().split_whitespace().next();
+            words.and_then(|kilobytes| kilobytes.parse::<u64>().ok()).unwrap_or(0)
+        };
+        field("VmHWM:").saturating_sub(field("RssFile:"))
     }
 }
 
@@ -215,13 +226,35 @@
         }
     }
 
-    pub fn start_control(&mut self, at: usize, bootstrap: bool) {
+    /// Kills the process of a control instance, and starts it again.
+    pub fn restart_control(&mut self, at: usize, pause: Duration) {
+        self.controls[at].signal("KILL");
+        self.controls[at].wait();
+        sleep(pause);
+        self.start_control(at, false);
+    }
+
+    /// Kills the processes of all control instances at once, and starts them again.
+    pub fn restart_controls(&mut self, pause: Duration) {
+        for control in &self.controls {
+            control.signal("KILL");
+        }
+        for control in &mut self.controls {
+            control.wait();
+        }
+        sleep(pause);
+        for at in 0..self.controls.len() {
+            self.start_control(at, false);
+        }
+    }
+
+    fn start_control(&mut self, at: usize, bootstrap: bool) {
         let machine = &self.controls[at];
         let process = self.spawn(machine, bootstrap);
         self.controls[at].process = Some(process);
     }
 
-    pub fn start_node(&mut self, at: usize) {
+    fn start_node(&mut self, at: usize) {
         let machine = &self.nodes[at];
         let process = self.spawn(machine, false);
         self.nodes[at].process = Some(process);
@@ -309,7 +342,7 @@
 }
 
 /// Waits until the node says that it is ready.
-pub fn await_node(node: &Machine) {
+fn await_node(node: &Machine) {
     let started = Instant::now();
     while !is_ready(node) {
         if started.elapsed() > Duration::from_secs(30) {
@@ -320,7 +353,7 @@
     }
 }
 
-pub fn is_ready(node: &Machine) -> bool {
+fn is_ready(node: &Machine) -> bool {
     let headers = [("Host", "ready")];
     let limit = Duration::from_secs(1);
     let answer = http::send(node.ready(), "GET /v1/ready", &headers, b"", limit);
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -10,6 +10,7 @@
 mod server;
 mod template;
 
+mod config_memory;
 mod foreign_answer;
 mod nested_prefix;
 mod pipeline_cut;
@@ -37,6 +38,7 @@
     let trouble = trouble != "0";
     record.line(format!("case {name}, trouble {trouble}"));
     let verdict = match name.as_str() {
+        "config-memory" => config_memory::run(&record, trouble),
         "foreign-answer" => foreign_answer::run(&record, trouble),
         "pipeline-cut" => pipeline_cut::run(&record, trouble),
         "nested-prefix" => nested_prefix::run(&record, trouble),
--- a/review/stand-ins/operator.rs
+++ b/review/stand-ins/operator.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::Fleet;
 use crate::http;
+use crate::http::Message;
 
 /// Sends a config to one instance after the other until one accepts or refuses it, and
 /// returns that status. Follows two redirects.
@@ -25,28 +26,40 @@
     0
 }
 
-fn put_to(mut control: SocketAddr, builds_on: &str, body: &str) -> u16 {
+/// Sends a config to an instance and returns the status of its answer; 0 if none comes
+/// within a second, or if it redirects more than twice.
+pub fn put_to(control: SocketAddr, builds_on: &str, body: &str) -> u16 {
+    let headers = [("If-Match", builds_on), ("Content-Type", "application/json")];
+    let answer = ask(control, "PUT /v1/config", &headers, body.as_bytes());
+    answer.map_or(0, |answer| answer.status())
+}
+
+/// Reads the config at an instance; `None` if it gives none.
+pub fn read_config(control: SocketAddr) -> Option<String> {
+    let answer = ask(control, "GET /v1/config", &[], b"")?;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    (answer.status() == 200).then_some(text)
+}
+
+/// Sends a call and follows two redirects.
+fn ask(
+    mut control: SocketAddr,
+    start: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Message> {
     for _ in 0..3 {
         let host = control.to_string();
-        let headers = [
-            ("Host", host.as_str()),
-            ("If-Match", builds_on),
-            ("Content-Type", "application/json"),
-        ];
+        let mut headers = headers.to_vec();
+        headers.push(("Host", host.as_str()));
         let limit = Duration::from_secs(1);
-        let sent = http::send(control, "PUT /v1/config", &headers, body.as_bytes(), limit);
-        let Ok(answer) = sent else {
-            return 0;
-        };
+        let answer = http::send(control, start, &headers, body, limit).ok()?;
         if answer.status() != 307 {
-            return answer.status();
+            return Some(answer);
         }
-        let location = answer.header("location").unwrap_or_default().to_owned();
-        let address = location.trim_start_matches("http://").split('/').next();
-        let Some(Ok(next)) = address.map(str::parse) else {
-            return 0;
-        };
-        control = next;
+        let location = answer.header("location").unwrap_or_default();
+        let address = location.trim_start_matches("http://").split('/').next()?;
+        control = address.parse().ok()?;
     }
-    0
+    None
 }
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -33,9 +33,7 @@
 /// A request that a server began to work on.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub at_ms: u64,
     pub request: String,
-    pub path: String,
     pub server: String,
 }
 
@@ -152,27 +150,6 @@
         answer.map_or(0, |answer| answer.status())
     }
 
-    /// Says that this run of the server is gone; returns the status of the answer.
-    pub fn deregister(&self, to: SocketAddr) -> u16 {
-        let start = format!("DELETE /v1/instances/{}", self.id);
-        let headers = [("Host", "control"), ("Content-Type", "application/json")];
-        let body = format!("{{\"born\":{}}}", self.born_ms);
-        let limit = Duration::from_secs(1);
-        let answer = http::send(to, &start, &headers, body.as_bytes(), limit);
-        answer.map_or(0, |answer| answer.status())
-    }
-
-    /// Ends the server: its port closes, and connections end.
-    pub fn end(&self) {
-        self.ended.store(true, Ordering::SeqCst);
-        // Wakes the accepting thread.
-        let _ = TcpStream::connect(self.address);
-    }
-
-    pub fn busy(&self) -> u32 {
-        self.busy.load(Ordering::SeqCst)
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
@@ -234,9 +211,7 @@
         let number = self.runs_here.fetch_add(1, Ordering::SeqCst) + 1;
         self.record.line(format!("run {id} {method} {path} at {}", self.id));
         self.runs.lock().expect("the runs").push(Run {
-            at_ms: self.record.now_ms(),
             request: id.to_owned(),
-            path: path.clone(),
             server: self.id.clone(),
         });
         sleep(self.work);
