--- a/review/stand-ins/config_memory.rs
+++ b/review/stand-ins/config_memory.rs
@@ -93,6 +93,7 @@
             let _ = reports.send(watch(fleet, &record, &kill_all, &over));
         })
     };
+    record.line(format!("a config has {} bytes", config(2).len()));
     let acknowledged = send_changes(record, &controls);
     record.line(format!("the newest acknowledged version is {acknowledged:08x}"));
     if acknowledged <= CHANGES {
