--- a/review/stand-ins/config_memory.rs
+++ b/review/stand-ins/config_memory.rs
@@ -22,7 +22,7 @@
 
 /// Changes of the day, and the time from one to the next.
 const CHANGES: u32 = 640;
-const GAP: Duration = Duration::from_millis(130);
+const GAP: Duration = Duration::from_millis(120);
 
 /// Memory of a `core` machine: 256 MB.
 const MEMORY_KB: u64 = 256 * 1024;
@@ -35,7 +35,7 @@
 const ORDER_TIME: Duration = Duration::from_secs(6);
 
 /// How long the config is read back: far longer than `contact`.
-const READ_TIME: Duration = Duration::from_secs(12);
+const READ_TIME: Duration = Duration::from_secs(10);
 
 /// The config of one version. From each to the next the weights of all routes change.
 fn config(version: u32) -> String {
--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
@@ -284,13 +285,7 @@
             eprintln!("{program} cannot start: {error}; build it first");
             std::process::exit(2);
         });
-        if let Some(pids) = std::env::var_os("PIDS") {
-            let pids = File::options().create(true).append(true).open(pids);
-            let _ = std::io::Write::write_all(
-                &mut pids.expect("the list of processes"),
-                format!("{}\n", process.id()).as_bytes(),
-            );
-        }
+        list_process(process.id());
         self.record.line(format!("start {} {}", machine.name, role.run));
         process
     }
@@ -341,6 +336,15 @@
     }
 }
 
+/// Adds a process to the list of those that `run.sh` ends if the case is interrupted.
+pub fn list_process(id: u32) {
+    let Some(path) = std::env::var_os("PIDS") else {
+        return;
+    };
+    let list = File::options().create(true).append(true).open(path);
+    let _ = list.expect("the list of processes").write_all(format!("{id}\n").as_bytes());
+}
+
 /// Waits until the node says that it is ready.
 fn await_node(node: &Machine) {
     let started = Instant::now();
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -34,6 +34,7 @@
         eprintln!("usage: review-case NAME RECORD TROUBLE");
         exit(2);
     };
+    fleet::list_process(std::process::id());
     let record = Arc::new(Record::create(Path::new(path)));
     let trouble = trouble != "0";
     record.line(format!("case {name}, trouble {trouble}"));
