call-retried names the route and whether the call is idempotent

A call that ran at two servers was retried because its route says that it is idempotent. The line of the entry node named neither the route nor the kind, so that a wrong route could not be told from a retry that forgot the kind; only the line of the server's node has the route, and there is none if that node is lost.

Change: both inputs of the decision in the line.

--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -18,7 +18,7 @@
 use log::info;
 
 use cowslip_core::call_try::TryFailure;
-use cowslip_core::load::retry_budget::RetryCredit;
+use cowslip_core::entry_router::CallPlan;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::boot_instant::BootInstant;
@@ -109,23 +109,25 @@
         }
     }
 
-    /// Logs a failed attempt of a call that is retried, with what is left of the
-    /// retry budget.
+    /// Logs a failed attempt of a call that is retried, with the matching route,
+    /// whether the call is idempotent, and what is left of the retry budget.
     pub fn retried(
         &self,
         id: &LoggedId,
         server: &str,
         failure: TryFailure,
-        credit: RetryCredit,
+        plan: &CallPlan,
     ) {
         if self.admit_line(failure.reason) {
             info!(
-                "event=call-retried process=node side={} request={id} server={server} reason={} verdict={} saved={:.2} saved_max={:.2}",
+                "event=call-retried process=node side={} request={id} server={server} reason={} verdict={} route={} idempotent={} saved={:.2} saved_max={:.2}",
                 self.side,
                 failure.reason,
                 failure.verdict.as_str(),
-                credit.saved,
-                credit.saved_max
+                LogValue(&plan.route),
+                plan.is_idempotent(),
+                plan.retry_credit.saved,
+                plan.retry_credit.saved_max
             );
         }
     }
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -374,8 +374,7 @@
                 (Err(refusal), None) => return Err(refusal),
             };
             if failure.reason != RefusalReason::NoFreeSlot {
-                let credit = planned.plan.retry_credit;
-                self.log.retried(id, &server, failure, credit);
+                self.log.retried(id, &server, failure, &planned.plan);
             }
             if let Some(reason) = planned.retry {
                 self.metrics.retried(reason);
