A route serves only the paths that its prefix begins

Cause: the adapter stores the prefix /sales/list/ as the path /sales/list, and nodes matched whole segments, the path /sales/list itself included. The call took the longer prefix's route, and with it its kind and its service.

Stored and sent documents keep their form, since nodes of the build before refuse a path with a slash at its end and fields that they do not know.

The tests in core need the new rule and do not compile before.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -234,7 +234,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
-    /// Path prefix with a leading slash; matches whole segments.
+    /// Path prefix with a leading slash and no other slash at its end. Which
+    /// paths it matches is the nodes' [`PathMatch`](crate::route_table::PathMatch).
     pub path: Arc<str>,
     /// Service that serves the calls.
     pub service: Arc<str>,
--- a/crates/core/src/entry_router.rs
+++ b/crates/core/src/entry_router.rs
@@ -39,6 +39,7 @@
 use crate::refusal::RefusalReason;
 use crate::rollout::last_server::is_last_old_server;
 use crate::rollout::node_guard::NodeGuard;
+use crate::route_table::PathMatch;
 use crate::route_table::RouteTable;
 use crate::server_gate::QueueBounds;
 use crate::server_notice::ServerNotices;
@@ -103,6 +104,7 @@
     failure_domain: Arc<str>,
     snapshot: ConfigSnapshot,
     routes: RouteTable,
+    path_match: PathMatch,
     directory: EndpointDirectory,
     servers: FleetServers,
     service_loads: HashMap<Arc<str>, ServiceLoad>,
@@ -123,6 +125,7 @@
             failure_domain,
             snapshot: ConfigSnapshot::default(),
             routes: RouteTable::default(),
+            path_match: PathMatch::default(),
             directory: EndpointDirectory::default(),
             servers: FleetServers::default(),
             service_loads: HashMap::new(),
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Sets which paths the routes of later snapshots match.
+    #[must_use]
+    pub fn with_path_match(mut self, path_match: PathMatch) -> Self {
+        self.path_match = path_match;
+        self
+    }
+
     /// Version of the configuration in use; `ZERO` before the first one.
     pub fn version(&self) -> ConfigVersion {
         self.snapshot.version
@@ -175,7 +185,7 @@
         if !faults.is_empty() {
             return Err(faults);
         }
-        self.routes = RouteTable::new(&snapshot.document);
+        self.routes = RouteTable::new(&snapshot.document, self.path_match);
         self.guard.install(&snapshot.document);
         self.snapshot = snapshot;
         let services = &self.snapshot.document.services;
--- a/crates/core/tests/revisions.rs
+++ b/crates/core/tests/revisions.rs
@@ -19,6 +19,7 @@
 use cowslip_core::document::ServiceSpec;
 use cowslip_core::document::WeightedService;
 use cowslip_core::document::ANY_VERSION;
+use cowslip_core::route_table::PathMatch;
 use cowslip_core::route_table::RouteTable;
 use cowslip_core::version::ConfigVersion;
 
@@ -210,11 +211,12 @@
 // whole segments wins, and routes of one host do not serve another host.
 #[test]
 fn routes_are_matched_by_host_and_longest_path() {
-    let table = RouteTable::new(&document(vec![
+    let document = document(vec![
         route("a.example", "/one", "ledger"),
         route("a.example", "/one/two", "records"),
         route("b.example", "/one", "documents"),
-    ]));
+    ]);
+    let table = RouteTable::new(&document, PathMatch::WholeSegments);
     let service = |host: &str, path: &str| {
         let route = table.find(host, path);
         route.map(|route| route.service.to_string())
--- a/crates/node/src/call_dialect.rs
+++ b/crates/node/src/call_dialect.rs
@@ -3,6 +3,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 
+use cowslip_core::route_table::PathMatch;
 use cowslip_core::server_statement::ServerStatement;
 
 use crate::call_headers;
@@ -35,6 +36,8 @@
     pub not_run: HeaderName,
     /// Whether callers accept fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
+    /// Which paths a route's path prefix matches.
+    pub path_match: PathMatch,
     /// Whether backend servers send their own calls to the callers' listener,
     /// where they cannot be distinguished from callers' calls.
     pub servers_use_caller_listener: bool,
@@ -53,6 +56,7 @@
             caller_service: HeaderName::from_static(call_headers::CALLER_SERVICE),
             not_run: HeaderName::from_static(call_headers::NOT_RUN),
             fractional_retry_after: false,
+            path_match: PathMatch::default(),
             servers_use_caller_listener: false,
         }
     }
--- a/crates/node/src/entry_task.rs
+++ b/crates/node/src/entry_task.rs
@@ -191,19 +191,19 @@
     incarnation: u64,
 }
 
-/// Starts the entry task and returns the channel to it. `seed` is for its
-/// random choices.
+/// Starts the entry task with a router that has no configuration yet, and returns
+/// the channel to it.
 pub fn spawn(
     instance: Arc<str>,
     failure_domain: Arc<str>,
     gate: mpsc::UnboundedSender<GateMessage>,
     hooks: InstallHooks,
-    seed: u64,
+    router: EntryRouter,
 ) -> mpsc::Sender<EntryMessage> {
     let (sender, receiver) = mpsc::channel(QUEUE_CAPACITY);
     let task = EntryTask {
         incarnation: wall_clock::millis(),
-        router: EntryRouter::new(Arc::clone(&failure_domain), seed),
+        router,
         gate,
         hooks,
         waiting: StartupQueue::default(),
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use cowslip_core::entry_router::CallOrigin;
+use cowslip_core::entry_router::EntryRouter;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::admin_handler::AdminHandler;
 use cowslip_wire::admin_handler::ADMIN_CONNECTIONS_MAX;
@@ -232,6 +233,8 @@
         let quarantines = QuarantineList::default();
         let (listener_timeouts, timeouts_watch) =
             watch::channel(ListenerTimeouts::default());
+        let router = EntryRouter::new(Arc::clone(&failure_domain), seed)
+            .with_path_match(dialect.path_match);
         let entry = entry_task::spawn(
             instance,
             failure_domain,
@@ -242,7 +245,7 @@
                 server,
                 listener_timeouts,
             },
-            seed,
+            router,
         );
         let peers = PeerClient::new(settings.system_key.clone());
         let (controls, watched_controls) = watch::channel(settings.controls.clone());
--- a/crates/node/tests/start_calls.rs
+++ b/crates/node/tests/start_calls.rs
@@ -19,6 +19,7 @@
 use cowslip_core::document::RouteSpec;
 use cowslip_core::document::ServiceSpec;
 use cowslip_core::entry_router::CallOrigin;
+use cowslip_core::entry_router::EntryRouter;
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::load::startup_wait;
 use cowslip_core::refusal::RefusalReason;
@@ -49,7 +50,8 @@
         },
         listener_timeouts: watch::channel(ListenerTimeouts::default()).0,
     };
-    entry_task::spawn("records-1".into(), "voss".into(), gate, hooks, 1)
+    let router = EntryRouter::new("voss".into(), 1);
+    entry_task::spawn("records-1".into(), "voss".into(), gate, hooks, router)
 }
 
 async fn call(
