An answer without its request's id is not passed on

Cause: the hop takes an answer without an id for the one that it waits for. So it may where servers echo no ids; on the platform they echo them in all answers.

Change: the dialect says whether servers echo ids, and one function decides whether an answer belongs to a request. Others are dropped, the next one is waited for, and the connection is not used again after one without an id. An answer with an id answers no request without one. An interim answer with a body ends the connection; debug builds panicked on it.

a_truncated_response_is_an_error sends the id now, which its request requires. Its checks are unchanged.

Before: three of the four new tests fail with "stranger" instead of "own".

--- a/crates/node/src/call_dialect.rs
+++ b/crates/node/src/call_dialect.rs
@@ -34,6 +34,9 @@
     pub caller_service: HeaderName,
     /// Set by a server if it did not run the request.
     pub not_run: HeaderName,
+    /// Whether backend servers echo the request ID in all their responses, so that
+    /// a response without one belongs to no request.
+    pub servers_echo_request_id: bool,
     /// Whether callers accept fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
     /// Which paths a route's path prefix matches.
@@ -55,6 +58,7 @@
             leaving: HeaderName::from_static(call_headers::LEAVING),
             caller_service: HeaderName::from_static(call_headers::CALLER_SERVICE),
             not_run: HeaderName::from_static(call_headers::NOT_RUN),
+            servers_echo_request_id: false,
             fractional_retry_after: false,
             path_match: PathMatch::default(),
             servers_use_caller_listener: false,
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -123,6 +123,7 @@
             target: self.target.clone(),
             headers,
             request_id_header: dialect.request_id.clone(),
+            echo_required: false,
             observer: None,
         }
     }
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -33,6 +33,7 @@
 
 use cowslip_core::connection_renewal::PoolGeneration;
 use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::process_log::LogValue;
 use cowslip_wire::socket_read::read_ready;
 use cowslip_wire::socket_read::BODY_READ_BYTES;
 use cowslip_wire::socket_read::HEAD_READ_BYTES;
@@ -167,7 +168,7 @@
         let (mut reader, mut writer) = self.stream.split();
         let mut sent = false;
         let received = &mut self.received;
-        let head = {
+        let answer = {
             let sending = send(&mut writer, head_bytes, body, request);
             tokio::pin!(sending);
             let reading = read_matching_head(&mut reader, &mut codec, received, request);
@@ -183,13 +184,14 @@
                         }
                         sent = true;
                     }
-                    head = &mut reading => break head?,
+                    answer = &mut reading => break answer?,
                 }
             }
         };
+        let head = answer.head;
         // Guards against a server that responds before it has read the whole
         // body: it would read the next request as the rest of that body.
-        self.reusable = sent && codec.keep_alive();
+        self.reusable = sent && codec.keep_alive() && !answer.follows_unidentified;
         self.update_expiry(&head.headers);
         self.read_state = match codec.message_type() {
             MessageType::None if is_close_delimited(&head, request) => {
@@ -339,31 +341,50 @@
     writer.write_all(b"\r\n").await
 }
 
+/// The head of the response to a request.
+struct MatchingHead {
+    head: ResponseHead,
+    /// True if responses without a request ID were dropped before it. A server
+    /// that sends them may send more.
+    follows_unidentified: bool,
+}
+
 /// Reads response heads until the one that belongs to `request`.
 ///
-/// Guards against a late second response to an earlier request: passed on as
-/// the response to the next request, it would give a caller somebody else's
-/// data. It is recognized by its echoed request ID, read to its end and
-/// dropped.
+/// Guards against a late second response to an earlier request, and bytes that
+/// look like a response: passed on as the response to the next request, they
+/// would give a caller somebody else's data. They are recognized by the request
+/// ID that they do not echo, read to their end and dropped.
 async fn read_matching_head(
     reader: &mut ReadHalf<'_>,
     codec: &mut ClientCodec,
     received: &mut BytesMut,
     request: &HopRequest,
-) -> Result<ResponseHead, ExchangeError> {
+) -> Result<MatchingHead, ExchangeError> {
+    let mut follows_unidentified = false;
     loop {
         let head = read_head(reader, codec, received).await?;
-        let echoed = head.headers.get(&request.request_id_header);
-        let echoed = echoed.map(|value| value.as_bytes());
         if head.status.is_informational() {
+            // The codec must not decode a head where a body is due.
+            if codec.message_type() != MessageType::None {
+                let problem = "an interim response has a body";
+                return Err(ExchangeError::Broken(problem.to_owned()));
+            }
             continue;
         }
-        if echoed.is_none() || request.id().is_none() || echoed == request.id() {
-            return Ok(head);
+        if request.is_answered_by(&head) {
+            return Ok(MatchingHead {
+                head,
+                follows_unidentified,
+            });
         }
+        let echoed = request.echoed_id(&head);
+        follows_unidentified |= echoed.is_none();
         info!(
-            "event=late-answer-dropped process=node status={}",
-            head.status
+            "event=late-answer-dropped process=node status={} echoed={} request={}",
+            head.status,
+            logged_id(echoed),
+            logged_id(request.id())
         );
         if is_close_delimited(&head, request) {
             let problem = "a response to another request ends only with the connection";
@@ -373,6 +394,12 @@
     }
 }
 
+/// A request ID for a log line; `-` if there is none.
+fn logged_id(id: Option<&[u8]>) -> LogValue<String> {
+    let text = id.map_or("-".into(), String::from_utf8_lossy);
+    LogValue(text.into_owned())
+}
+
 async fn read_head(
     reader: &mut ReadHalf<'_>,
     codec: &mut ClientCodec,
--- a/crates/node/src/hop/hop_request.rs
+++ b/crates/node/src/hop/hop_request.rs
@@ -7,6 +7,7 @@
 use actix_http::header::HeaderName;
 use actix_http::Method;
 use actix_http::RequestHead;
+use actix_http::ResponseHead;
 use actix_http::Uri;
 
 /// Learns when a request has been sent.
@@ -26,6 +27,9 @@
     pub headers: HeaderMap,
     /// Header that carries the request ID; responses echo it.
     pub request_id_header: HeaderName,
+    /// Whether the response to a request with an ID echoes it in every case. If
+    /// not, a response without an ID answers the request as well.
+    pub echo_required: bool,
     /// Learns when the head has been sent, if anyone wants to know.
     pub observer: Option<Rc<dyn SendObserver>>,
 }
@@ -38,6 +42,22 @@
             .map(|value| value.as_bytes())
     }
 
+    /// Request ID that a response echoes, if it has one.
+    pub(super) fn echoed_id<'a>(&self, response: &'a ResponseHead) -> Option<&'a [u8]> {
+        response
+            .headers
+            .get(&self.request_id_header)
+            .map(|value| value.as_bytes())
+    }
+
+    /// True if the response answers this request and no other.
+    pub(super) fn is_answered_by(&self, response: &ResponseHead) -> bool {
+        match (self.id(), self.echoed_id(response)) {
+            (Some(_), None) => !self.echo_required,
+            (id, echoed) => id == echoed,
+        }
+    }
+
     /// Tells the observer that the head has been sent.
     pub(super) fn notify_sent(&self) {
         if let Some(observer) = &self.observer {
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -186,6 +186,7 @@
             &self.dialect,
             self.server_headers(left, &grant, caller.as_deref()),
         );
+        request.echo_required = self.dialect.servers_echo_request_id;
         if grant.counts_sends {
             request.observer = Some(slot.send_observer());
         }
--- a/crates/node/src/server_check.rs
+++ b/crates/node/src/server_check.rs
@@ -135,6 +135,7 @@
         target: check.health_page.clone(),
         headers,
         request_id_header: dialect.request_id.clone(),
+        echo_required: false,
         observer: None,
     };
     let mut body = CallBody::Buffered(Bytes::new());
--- a/crates/node/tests/hop.rs
+++ b/crates/node/tests/hop.rs
@@ -14,6 +14,7 @@
 use actix_http::Uri;
 use actix_rt::System;
 use bytes::Bytes;
+use proptest::prelude::*;
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
@@ -37,7 +38,7 @@
 
 /// Responses of the server, in order, and whether it closes the connection after
 /// each.
-type Script = Vec<(String, bool)>;
+type Script = Vec<(Vec<u8>, bool)>;
 
 #[derive(Default)]
 struct ServerLog {
@@ -52,7 +53,13 @@
 
 impl ScriptedServer {
     /// Answers the requests of each connection from the start of `script`.
-    async fn spawn(script: Script) -> Self {
+    async fn spawn(script: Vec<(String, bool)>) -> Self {
+        let script = script.into_iter();
+        let script = script.map(|(text, closes)| (text.into_bytes(), closes));
+        Self::spawn_bytes(script.collect()).await
+    }
+
+    async fn spawn_bytes(script: Script) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let socket = TcpListener::bind(any).await.expect("a free port");
         let address = socket.local_addr().expect("its address");
@@ -82,7 +89,7 @@
             }
         }
         log.borrow_mut().received.extend_from_slice(&head);
-        if stream.write_all(response.as_bytes()).await.is_err() || closes {
+        if stream.write_all(&response).await.is_err() || closes {
             return;
         }
     }
@@ -106,6 +113,7 @@
         target: Uri::from_static("/sheets"),
         headers,
         request_id_header,
+        echo_required: true,
         observer: None,
     }
 }
@@ -151,6 +159,61 @@
     });
 }
 
+// Guards against passing on further bytes that look like a response but echo no
+// request ID, and against using a connection again on which they came.
+#[test]
+fn a_response_without_an_id_is_not_the_next_requests() {
+    System::new().block_on(async {
+        let foreign = "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nstranger";
+        let late = foreign.to_owned() + &response("2", "own");
+        let script = vec![(response("1", "first"), false), (late, false)];
+        let server = ScriptedServer::spawn(script).await;
+        let pools = CallPools::new();
+        let first = send(&pools, server.address, "1").await;
+        assert_eq!(read_all(first).await, "first");
+        let second = send(&pools, server.address, "2").await;
+        assert_eq!(read_all(second).await, "own");
+        let third = send(&pools, server.address, "1").await;
+        assert_eq!(read_all(third).await, "first");
+        assert_eq!(server.connections(), 2);
+    });
+}
+
+// Guards against taking the late response to an earlier request for the response
+// to a request without an ID, such as a check of the health page.
+#[test]
+fn a_late_response_does_not_answer_a_request_without_an_id() {
+    System::new().block_on(async {
+        let own = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown";
+        let late = response("1", "stranger") + own;
+        let script = vec![(response("1", "first"), false), (late, false)];
+        let server = ScriptedServer::spawn(script).await;
+        let pools = CallPools::new();
+        let first = send(&pools, server.address, "1").await;
+        assert_eq!(read_all(first).await, "first");
+        let mut check = request("1");
+        check.headers.clear();
+        let mut body = CallBody::Buffered(Bytes::new());
+        let sending = pools.send(server.address, &check, &mut body, TRY_TIMEOUT);
+        assert_eq!(read_all(sending.await).await, "own");
+    });
+}
+
+// Guards against requiring an ID of servers that are not said to echo it.
+#[test]
+fn a_server_need_not_echo_an_id_unless_it_is_required() {
+    System::new().block_on(async {
+        let plain = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nplain";
+        let server = ScriptedServer::spawn(vec![(plain.to_owned(), false)]).await;
+        let pools = CallPools::new();
+        let mut lenient = request("1");
+        lenient.echo_required = false;
+        let mut body = CallBody::Buffered(Bytes::new());
+        let sending = pools.send(server.address, &lenient, &mut body, TRY_TIMEOUT);
+        assert_eq!(read_all(sending.await).await, "plain");
+    });
+}
+
 // Guards against reusing a connection on which the server sent bytes after a
 // complete response. They belong to no request.
 #[test]
@@ -185,7 +248,7 @@
 #[test]
 fn a_truncated_response_is_an_error() {
     System::new().block_on(async {
-        let cut = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\na part";
+        let cut = "HTTP/1.1 200 OK\r\ncowslip-request-id: 1\r\ncontent-length: 100\r\n\r\na part";
         let server = ScriptedServer::spawn(vec![(cut.to_owned(), true)]).await;
         let pools = CallPools::new();
         let Ok(mut response) = send(&pools, server.address, "1").await else {
@@ -289,3 +352,78 @@
         assert!(took < Duration::from_millis(450), "{took:?}");
     });
 }
+
+/// Bytes that are not the response to a request of this test: arbitrary ones, and
+/// responses to other requests or to none, whole or cut.
+fn foreign_bytes() -> impl Strategy<Value = Vec<u8>> {
+    let id = prop_oneof![
+        Just(String::new()),
+        Just("cowslip-request-id: 77\r\n".to_owned()),
+    ];
+    let framing = prop_oneof![
+        Just("content-length: 8\r\n\r\nstranger"),
+        Just("content-length: 3\r\n\r\nstranger"),
+        Just("content-length: 80\r\n\r\nstranger"),
+        Just("transfer-encoding: chunked\r\n\r\n8\r\nstranger\r\n0\r\n\r\n"),
+        Just("transfer-encoding: chunked\r\n\r\n8\r\nstranger\r\n"),
+        Just("\r\nstranger"),
+    ];
+    let status = prop_oneof![
+        Just("200 OK"),
+        Just("503 Busy"),
+        Just("204 Empty"),
+        Just("100 Continue"),
+    ];
+    let whole = (status, id, framing)
+        .prop_map(|(status, id, framing)| format!("HTTP/1.1 {status}\r\n{id}{framing}"));
+    let cut = (whole.clone(), any::<prop::sample::Index>()).prop_map(|(text, end)| {
+        let end = end.index(text.len());
+        text[..end].to_owned()
+    });
+    prop_oneof![
+        2 => Just(Vec::new()),
+        2 => prop::collection::vec(any::<u8>(), 1..40),
+        4 => whole.prop_map(String::into_bytes),
+        2 => cut.prop_map(String::into_bytes),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    // Guards against a caller that gets the body of another response, whatever
+    // bytes come before, between and after the true ones.
+    #[test]
+    fn no_request_gets_a_body_that_is_not_its_own(
+        foreign in prop::collection::vec((foreign_bytes(), foreign_bytes()), 4),
+    ) {
+        System::new().block_on(async {
+            let mut script = Vec::new();
+            for (number, (before, after)) in foreign.into_iter().enumerate() {
+                let own = response(&number.to_string(), &format!("own {number}"));
+                script.push(([before, own.into_bytes(), after].concat(), false));
+            }
+            let count = script.len();
+            let server = ScriptedServer::spawn_bytes(script).await;
+            let pools = CallPools::new();
+            for number in 0..count {
+                // A new connection starts with the first response again, which
+                // belongs to another request.
+                let id = number.to_string();
+                let mut body = CallBody::Buffered(Bytes::new());
+                let sent = request(&id);
+                let limit = Duration::from_millis(30);
+                let sending = pools.send(server.address, &sent, &mut body, limit);
+                let Ok(mut response) = sending.await else {
+                    continue;
+                };
+                let reading = response.body.buffer(1_000);
+                let read = actix_rt::time::timeout(limit, reading).await;
+                if !matches!(read, Ok(Ok(true))) {
+                    continue;
+                }
+                assert_eq!(response.body.buffered(), format!("own {number}").as_bytes());
+            }
+        });
+    }
+}
