A move is not refused for what an earlier request asked

Operators saw: a move refused for its time got the same refusal with any other time, at any later moment; so did one that was ordered while another move ran.

Cause: the ID of the request, under which its answer is kept, names the service, the version and the number of earlier moves, not the time or the configuration in force.

Change: it names both. An accepted order that comes again under another ID is refused by the running move, then found among the moves and acknowledged.

Before: a_move_that_was_refused_for_its_time_is_accepted_with_more gets 400 for 600 s after a refusal for 1 ms.

--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -27,6 +27,7 @@
 use cowslip_core::rollout::rollout_change::MoveDue;
 use cowslip_core::rollout::rollout_record::RolloutRecord;
 use cowslip_core::rollout::share_plan::QuietChoice;
+use cowslip_core::version::ConfigVersion;
 use cowslip_wire::evidence_messages::RolloutLine;
 use cowslip_wire::evidence_messages::RolloutsCall;
 use cowslip_wire::messages::LeaderAnswer;
@@ -186,15 +187,11 @@
             // The version that would be replaced is not known yet.
             return LeaderAnswer::Unknown;
         }
-        let records = match self.ask(AgreementMessage::Rollouts).await.answered() {
-            Ok(records) => records,
+        let earlier = match self.moves_like(&request).await.answered() {
+            Ok(earlier) => earlier,
             Err(other) => return other,
         };
-        let same = |record: &&RolloutRecord| {
-            record.service == request.service && record.to == request.target
-        };
-        let earlier: Vec<&RolloutRecord> = records.iter().filter(same).collect();
-        if earlier.last().is_some_and(|record| is_resend(record)) {
+        if earlier.last().is_some_and(is_resend) {
             return LeaderAnswer::Answered(RequestOutcome::Accepted);
         }
         let change = MoveChange::Start {
@@ -204,9 +201,35 @@
             reason: String::new(),
             if_quiet: QuietChoice::Finish,
         };
-        let (service, target) = (&request.service, &request.target);
-        let id = format!("move-{service}-to-{target}-{}", earlier.len());
-        self.propose(id.into(), ConfigChange::Move(change)).await
+        let id = move_request_id(&request, earlier.len(), current.snapshot.version);
+        let answer = self.propose(id.into(), ConfigChange::Move(change)).await;
+        if !matches!(answer, LeaderAnswer::Answered(RequestOutcome::Invalid(_))) {
+            return answer;
+        }
+        // The same order may have been accepted under another ID, if another
+        // change came into force after it was sent for the first time.
+        match self.moves_like(&request).await.answered() {
+            Ok(moves) if moves.last().is_some_and(is_resend) => {
+                LeaderAnswer::Answered(RequestOutcome::Accepted)
+            }
+            Ok(_) => answer,
+            Err(other) => other,
+        }
+    }
+
+    /// Returns the moves of the request's service to its target, oldest first.
+    async fn moves_like(
+        &self,
+        request: &MoveRequest,
+    ) -> LeaderAnswer<Vec<RolloutRecord>> {
+        let mut records = match self.ask(AgreementMessage::Rollouts).await.answered() {
+            Ok(records) => records,
+            Err(other) => return other,
+        };
+        records.retain(|record| {
+            record.service == request.service && record.to == request.target
+        });
+        LeaderAnswer::Answered(records)
     }
 
     /// Carries out an order about an evacuation. An order that is in force already
@@ -311,6 +334,23 @@
     lines.into_iter().max_by_key(|line| line.record.rollout)
 }
 
+/// Request ID of a move that follows `earlier` moves to the same version. A refused
+/// request gets the same answer for as long as its ID stays the same, so the ID names
+/// all that the answer depends on: what is asked, and the configuration in force.
+fn move_request_id(
+    request: &MoveRequest,
+    earlier: usize,
+    current: ConfigVersion,
+) -> String {
+    let MoveRequest {
+        service,
+        target,
+        within,
+    } = request;
+    let within_ms = within.as_millis();
+    format!("move-{service}-to-{target}-{earlier}-within-{within_ms}-at-{current}")
+}
+
 fn is_resend(record: &RolloutRecord) -> bool {
     let started = Duration::from_millis(record.started_ms);
     let recent = wall_clock::since_epoch() < started + RESEND_WINDOW;
