--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -34,7 +34,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Longest logged request ID, in bytes; request IDs usually have 16 characters.
-const ID_BYTES_MAX: usize = 64;
+pub(crate) const ID_BYTES_MAX: usize = 64;
 
 #[derive(Debug)]
 struct LineCount {
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -39,6 +39,7 @@
 use cowslip_wire::socket_read::HEAD_READ_BYTES;
 
 use crate::call_forward::CallBody;
+use crate::call_log::ID_BYTES_MAX;
 use crate::hop::hop_request::HopRequest;
 
 /// Idle timeout of a connection if the other side states none. Servers commonly
@@ -394,10 +395,11 @@
     }
 }
 
-/// A request ID for a log line; `-` if there is none.
+/// A request ID for a log line, cut to [`ID_BYTES_MAX`]; `-` if there is none.
 fn logged_id(id: Option<&[u8]>) -> LogValue<String> {
-    let text = id.map_or("-".into(), String::from_utf8_lossy);
-    LogValue(text.into_owned())
+    let id = id.unwrap_or(b"-");
+    let id = &id[..id.len().min(ID_BYTES_MAX)];
+    LogValue(String::from_utf8_lossy(id).into_owned())
 }
 
 async fn read_head(
