--- a/crates/node/src/hop/hop_request.rs
+++ b/crates/node/src/hop/hop_request.rs
@@ -37,17 +37,19 @@
 impl HopRequest {
     /// Request ID that a response echoes, if the request has one.
     pub(super) fn id(&self) -> Option<&[u8]> {
-        self.headers
-            .get(&self.request_id_header)
-            .map(|value| value.as_bytes())
+        self.id_in(&self.headers)
     }
 
     /// Request ID that a response echoes, if it has one.
     pub(super) fn echoed_id<'a>(&self, response: &'a ResponseHead) -> Option<&'a [u8]> {
-        response
-            .headers
-            .get(&self.request_id_header)
-            .map(|value| value.as_bytes())
+        self.id_in(&response.headers)
+    }
+
+    /// Request ID in `headers`. An empty one names no request: some servers echo
+    /// it to a request without an ID.
+    fn id_in<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]> {
+        let value = headers.get(&self.request_id_header)?;
+        Some(value.as_bytes()).filter(|id| !id.is_empty())
     }
 
     /// True if the response answers this request and no other.
--- a/crates/node/tests/hop.rs
+++ b/crates/node/tests/hop.rs
@@ -199,6 +199,21 @@
     });
 }
 
+// Guards against dropping the response to a request without an ID, such as a check
+// of the health page, because the server echoes an empty ID.
+#[test]
+fn an_empty_id_answers_a_request_without_one() {
+    System::new().block_on(async {
+        let server = ScriptedServer::spawn(vec![(response("", "own"), false)]).await;
+        let pools = CallPools::new();
+        let mut check = request("1");
+        check.headers.clear();
+        let mut body = CallBody::Buffered(Bytes::new());
+        let sending = pools.send(server.address, &check, &mut body, TRY_TIMEOUT);
+        assert_eq!(read_all(sending.await).await, "own");
+    });
+}
+
 // Guards against requiring an ID of servers that are not said to echo it.
 #[test]
 fn a_server_need_not_echo_an_id_unless_it_is_required() {
