Metrics: number and size of the log entries that a control instance holds

What callers saw: nothing; an operator whose control instances grow could not see whether the log takes the memory. Change: each entry's encoded size is counted once, when it enters the log in memory; gauges cowslip_agreement_log_entries and cowslip_agreement_log_bytes. No change of behaviour.

--- a/crates/control/src/agreement_metrics.rs
+++ b/crates/control/src/agreement_metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::registry::Registry;
 
 use cowslip_core::agreement::ChangeAnswer;
+use cowslip_core::agreement::LogSize;
 use cowslip_core::agreement::MemberAnswer;
 use cowslip_core::agreement::MemberRefusal;
 use cowslip_core::change::ChangeOutcome;
@@ -36,6 +37,8 @@
     term: Gauge,
     commit: Gauge,
     leading: Gauge,
+    log_entries: Gauge,
+    log_bytes: Gauge,
     barred: Gauge,
 }
 
@@ -48,6 +51,16 @@
             term: registered_metric::gauge(registry, "term", "Highest term seen"),
             commit: registered_metric::gauge(registry, "commit", "Last committed index"),
             leading: registered_metric::gauge(registry, "leading", "1 where it leads"),
+            log_entries: registered_metric::gauge(
+                registry,
+                "log_entries",
+                "Log entries held",
+            ),
+            log_bytes: registered_metric::gauge(
+                registry,
+                "log_bytes",
+                "Encoded size of the log entries held",
+            ),
             barred: registered_metric::gauge(
                 registry,
                 "barred",
@@ -109,6 +122,12 @@
         self.leading.set(i64::from(leading));
     }
 
+    /// Sets the number and size of the log entries held.
+    pub fn set_log_size(&self, size: LogSize) {
+        self.log_entries.set(size.entries as i64);
+        self.log_bytes.set(size.bytes as i64);
+    }
+
     /// Records that the data folder was found rolled back.
     pub fn set_barred(&self) {
         self.barred.set(1);
--- a/crates/control/src/agreement_task.rs
+++ b/crates/control/src/agreement_task.rs
@@ -477,6 +477,7 @@
         let leading = self.view.borrow().is_leading();
         self.metrics
             .set_position(agreement.term(), agreement.commit_index(), leading);
+        self.metrics.set_log_size(agreement.log_size());
     }
 
     fn answer_hand_overs(&mut self) {
--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -22,6 +22,7 @@
 pub use self::membership::MemberChange;
 pub use self::membership::MemberLine;
 pub use self::membership::MemberRefusal;
+pub use self::replica_log::LogSize;
 pub use self::saved_state::HardState;
 pub use self::saved_state::MemberIdentity;
 pub use self::saved_state::ReopenedFolder;
--- a/crates/core/src/agreement/log_entry.rs
+++ b/crates/core/src/agreement/log_entry.rs
@@ -8,6 +8,7 @@
 use crate::agreement::member_list::MemberList;
 use crate::change::ChangeEntry;
 use crate::change::ConfigChange;
+use crate::encoded_size;
 use crate::version::ConfigVersion;
 
 /// Estimated size of a small change or of one part of a document, in bytes.
@@ -34,6 +35,11 @@
 }
 
 impl LogEntry {
+    /// Size of the encoded entry in bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        encoded_size::of(self)
+    }
+
     /// Estimated size on the wire in bytes, for limiting message sizes.
     pub fn estimated_bytes(&self) -> usize {
         let EntryBody::Change(entry) = &self.body else {
--- a/crates/core/src/agreement/member.rs
+++ b/crates/core/src/agreement/member.rs
@@ -28,6 +28,7 @@
 use crate::agreement::member_message::MessageBody;
 use crate::agreement::output_queue::AddressedMessage;
 use crate::agreement::output_queue::OutputQueue;
+use crate::agreement::replica_log::LogSize;
 use crate::agreement::replica_log::ReplicaLog;
 use crate::agreement::saved_state::HardState;
 use crate::agreement::saved_state::MemberIdentity;
@@ -329,6 +330,11 @@
         self.log.entry(index)
     }
 
+    /// Number and encoded size of the log entries that this member holds.
+    pub fn log_size(&self) -> LogSize {
+        self.log.size()
+    }
+
     /// Number of log entries after the last snapshot.
     pub fn entries_since_snapshot(&self) -> u64 {
         self.log.entries_since_snapshot()
--- a/crates/core/src/agreement/replica_log.rs
+++ b/crates/core/src/agreement/replica_log.rs
@@ -12,13 +12,39 @@
 /// needs no snapshot: an hour and a half at 13,000 changes a day.
 const KEPT_ENTRIES: u64 = 1_024;
 
+/// An entry and its size.
+#[derive(Clone, Debug)]
+struct LogSlot {
+    entry: LogEntry,
+    /// Size of the encoded entry in bytes.
+    bytes: usize,
+}
+
+impl LogSlot {
+    fn new(entry: LogEntry) -> Self {
+        let bytes = entry.encoded_bytes();
+        Self { entry, bytes }
+    }
+}
+
+/// Number and encoded size of the entries that a log holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogSize {
+    /// Number of entries.
+    pub entries: usize,
+    /// Sum of the encoded entries in bytes.
+    pub bytes: usize,
+}
+
 /// A snapshot, the log entries and the resulting member list.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaLog {
     snapshot: ReplicaSnapshot,
     /// Version of the entry before the first one held.
     start: ConfigVersion,
-    entries: VecDeque<LogEntry>,
+    slots: VecDeque<LogSlot>,
+    /// Sum of the sizes of all slots.
+    bytes: usize,
     members: MemberList,
     members_index: u64,
 }
@@ -48,7 +74,9 @@
                 // The term of the entry before the kept ones is never used.
                 ConfigVersion::new(0, index)
             };
-            log.entries = entries.into();
+            for entry in entries {
+                log.push_slot(LogSlot::new(entry));
+            }
         }
         log.recompute_members();
         log
@@ -71,9 +99,9 @@
 
     /// Version of the last entry.
     pub fn last(&self) -> ConfigVersion {
-        self.entries
+        self.slots
             .back()
-            .map_or(self.start, |entry| entry.version)
+            .map_or(self.start, |slot| slot.entry.version)
     }
 
     /// Index of the first entry held, or of the next one if there is none.
@@ -95,13 +123,13 @@
     /// The entry at `index`, if the log holds it.
     pub fn entry(&self, index: u64) -> Option<&LogEntry> {
         let at = index.checked_sub(self.start.index + 1)?;
-        self.entries.get(at as usize)
+        self.slots.get(at as usize).map(|slot| &slot.entry)
     }
 
     /// The entries held from `index` on.
     pub fn from(&self, index: u64) -> impl Iterator<Item = &LogEntry> {
         let at = index.saturating_sub(self.start.index + 1);
-        self.entries.iter().skip(at as usize)
+        self.slots.iter().skip(at as usize).map(|slot| &slot.entry)
     }
 
     /// Appends an entry.
@@ -110,13 +138,28 @@
             self.members = members.clone();
             self.members_index = entry.version.index;
         }
-        self.entries.push_back(entry);
+        self.push_slot(LogSlot::new(entry));
+    }
+
+    fn push_slot(&mut self, slot: LogSlot) {
+        self.bytes += slot.bytes;
+        self.slots.push_back(slot);
+    }
+
+    /// Number and encoded size of the entries held.
+    pub fn size(&self) -> LogSize {
+        LogSize {
+            entries: self.slots.len(),
+            bytes: self.bytes,
+        }
     }
 
     /// Removes the entries from `index` on.
     pub fn cut_from(&mut self, index: u64) {
         let kept = index.saturating_sub(self.start.index + 1);
-        self.entries.truncate(kept as usize);
+        while self.slots.len() as u64 > kept {
+            self.bytes -= self.slots.pop_back().map_or(0, |slot| slot.bytes);
+        }
         if self.members_index >= index {
             self.recompute_members();
         }
@@ -131,7 +174,8 @@
 
     /// Members as of `index`, which must be committed.
     pub fn members_at(&self, index: u64) -> MemberList {
-        for entry in self.entries.iter().rev() {
+        for slot in self.slots.iter().rev() {
+            let entry = &slot.entry;
             if entry.version.index > index {
                 continue;
             }
@@ -149,13 +193,7 @@
     pub fn compact(&mut self, snapshot: ReplicaSnapshot) {
         let keep_from = snapshot.version.index.saturating_sub(KEPT_ENTRIES);
         self.snapshot = snapshot;
-        while let Some(entry) = self.entries.front() {
-            if entry.version.index > keep_from {
-                break;
-            }
-            self.start = entry.version;
-            self.entries.pop_front();
-        }
+        self.drop_until(keep_from);
     }
 
     /// Replaces the log by the leader's snapshot, and keeps only the entries
@@ -163,19 +201,32 @@
     pub fn install(&mut self, snapshot: ReplicaSnapshot) {
         let base = snapshot.version;
         if self.version_at(base.index) != Some(base) {
-            self.entries.clear();
+            self.slots.clear();
+            self.bytes = 0;
         }
         self.snapshot = snapshot;
+        self.drop_until(base.index);
         self.start = base;
-        self.entries
-            .retain(|entry| entry.version.index > base.index);
         self.recompute_members();
     }
 
+    /// Drops the entries up to `index`.
+    fn drop_until(&mut self, index: u64) {
+        while let Some(slot) = self.slots.front() {
+            if slot.entry.version.index > index {
+                break;
+            }
+            self.start = slot.entry.version;
+            self.bytes -= slot.bytes;
+            self.slots.pop_front();
+        }
+    }
+
     fn recompute_members(&mut self) {
         self.members = self.snapshot.members.clone();
         self.members_index = self.snapshot.version.index;
-        for entry in &self.entries {
+        for slot in &self.slots {
+            let entry = &slot.entry;
             let EntryBody::Members(members) = &entry.body else {
                 continue;
             };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod directory;
 pub mod directory_follower;
 pub mod document;
+pub mod encoded_size;
 pub mod endpoint_announcer;
 pub mod endpoint_lease;
 pub mod entry_router;
