Entries for a member are counted by their true size

What callers saw: a control instance that was away during some 130 changes of 300 routes never caught up again. Cause: the size of an entry was estimated by its kind, 256 bytes for any revision, so that up to 1,024 entries of 128 KB went into one message; an instance accepts 16 MB. The window to a member and the uncommitted entries were bounded by number only. Evidence: a_member_that_missed_heavy_changes_gets_them_in_bounded_messages fails before: a message of 20,039,151 bytes. Change: the encoded size that the log holds for each entry bounds a message (1 MB), what is under way to a member (4 MB) and what waits to be committed (8 MB). What is under way counts from the first entry sent, no longer from index 0: a new leader with more than 1,024 entries sent its first entry only after a member had answered.

--- a/crates/core/src/agreement/leadership.rs
+++ b/crates/core/src/agreement/leadership.rs
@@ -18,6 +18,7 @@
 use crate::agreement::member_list::MemberList;
 use crate::agreement::member_message::MemberMessage;
 use crate::agreement::member_message::MessageBody;
+use crate::agreement::replica_log::ReplicaLog;
 use crate::agreement::timing::ELECTION_TIMEOUT_MIN;
 use crate::agreement::timing::HAND_OVER_TIMEOUT;
 use crate::agreement::timing::HEARTBEAT_INTERVAL;
@@ -32,14 +33,22 @@
 /// a second, far more than any disk can sync.
 const WINDOW_ENTRIES: u64 = 1_024;
 
-/// Approximate limit on the entries in one message, in bytes; a larger entry
-/// is sent alone. A sixteenth of the largest message.
+/// Maximum size of the unacknowledged entries in flight to one member, in bytes;
+/// an entry is sent as long as those before it take less. Bounds the messages
+/// that wait for a slow member, and their decoding there.
+const WINDOW_BYTES: usize = 4 * APPEND_BYTES;
+
+/// Maximum size of the entries in one message, in bytes; a larger entry is sent
+/// alone.
 const APPEND_BYTES: usize = 1024 * 1024;
 
 /// Maximum number of uncommitted entries; further changes are refused. Bounds
 /// memory, and the wait of operators to a few seconds.
 const UNCOMMITTED_MAX: u64 = 1_024;
 
+/// Maximum size of the uncommitted entries, in bytes; further changes are refused.
+const UNCOMMITTED_BYTES_MAX: usize = 2 * WINDOW_BYTES;
+
 /// Replication progress of one other member.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PeerProgress {
@@ -47,6 +56,9 @@
     folder: u64,
     /// Index of the next entry to send.
     next: u64,
+    /// Index of the first entry sent since the member was last found to hold the
+    /// entry before it, or was taken to.
+    sent_from: u64,
     /// Index of the last entry known to be synced by the member.
     pub(super) matched: u64,
     /// Latest send time, on the leader's clock, that the member acknowledged.
@@ -85,10 +97,14 @@
         self.is_live(now) && !waiting
     }
 
-    fn may_send_entries(&self, last: u64) -> bool {
-        let window = self.next - self.matched.min(self.next) <= WINDOW_ENTRIES;
+    fn may_send_entries(&self, log: &ReplicaLog) -> bool {
         let open = !self.probing || !self.probe_in_flight;
-        self.next <= last && window && open
+        if self.next > log.last().index || !open {
+            return false;
+        }
+        let first = self.sent_from.max(self.matched + 1);
+        self.next.saturating_sub(first) < WINDOW_ENTRIES
+            && log.bytes_between(first, self.next) < WINDOW_BYTES
     }
 }
 
@@ -208,13 +224,21 @@
         let ElectionState::Leader(leadership) = &self.election_state else {
             return None;
         };
-        let waiting = self.log.last().index - self.commit;
-        if !leadership.is_fresh(self, now) || waiting >= UNCOMMITTED_MAX {
+        if !leadership.is_fresh(self, now) || self.has_full_backlog() {
             return None;
         }
         Some(self.append_as_leader(body))
     }
 
+    /// True if the entries that wait to be committed are as many or as large as may
+    /// wait at once.
+    fn has_full_backlog(&self) -> bool {
+        let end = self.log.last().index + 1;
+        let first = self.commit + 1;
+        end - first >= UNCOMMITTED_MAX
+            || self.log.bytes_between(first, end) >= UNCOMMITTED_BYTES_MAX
+    }
+
     /// Runs the leader's timers that are due at `now`.
     pub(super) fn tick_leader(&mut self, now: Duration) {
         let ElectionState::Leader(leadership) = &mut self.election_state else {
@@ -371,6 +395,7 @@
             let mut progress = known.unwrap_or_else(|| PeerProgress {
                 folder,
                 next,
+                sent_from: next,
                 ..PeerProgress::default()
             });
             if heartbeat {
@@ -396,10 +421,9 @@
             }
             return progress;
         }
-        let last = self.log.last().index;
         let commit_advanced = progress.sent_commit < self.commit;
         let mut due = heartbeat || commit_advanced;
-        while due || progress.may_send_entries(last) {
+        while due || progress.may_send_entries(&self.log) {
             due = false;
             let previous = self.log.version_at(progress.next - 1);
             let Some(previous) = previous.filter(|_| progress.installing.is_none())
@@ -424,20 +448,11 @@
     }
 
     fn next_entries(&self, progress: &PeerProgress) -> Vec<LogEntry> {
-        let mut entries = Vec::new();
-        if !progress.may_send_entries(self.log.last().index) {
-            return entries;
-        }
-        let mut bytes = 0;
-        for entry in self.log.from(progress.next) {
-            bytes += entry.estimated_bytes();
-            let full = entries.len() as u64 >= WINDOW_ENTRIES;
-            if full || (!entries.is_empty() && bytes > APPEND_BYTES) {
-                break;
-            }
-            entries.push(entry.clone());
+        if !progress.may_send_entries(&self.log) {
+            return Vec::new();
         }
-        entries
+        self.log
+            .batch_from(progress.next, WINDOW_ENTRIES, APPEND_BYTES)
     }
 
     fn send_append(
@@ -473,6 +488,7 @@
         let index = snapshot.version.index;
         progress.installing = Some((index, now + INSTALL_TIMEOUT));
         progress.next = index + 1;
+        progress.sent_from = progress.next;
         let sent_at = now;
         self.send(peer, MessageBody::Install { snapshot, sent_at });
     }
@@ -495,6 +511,7 @@
             return;
         }
         self.next = held + 1;
+        self.sent_from = self.next;
         if !self.probing {
             self.probing = true;
             self.probe_in_flight = false;
--- a/crates/core/src/agreement/log_entry.rs
+++ b/crates/core/src/agreement/log_entry.rs
@@ -7,13 +7,9 @@
 
 use crate::agreement::member_list::MemberList;
 use crate::change::ChangeEntry;
-use crate::change::ConfigChange;
 use crate::encoded_size;
 use crate::version::ConfigVersion;
 
-/// Estimated size of a small change or of one part of a document, in bytes.
-const PART_BYTES: usize = 256;
-
 /// One log entry; its version is its term and index.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogEntry {
@@ -39,22 +35,4 @@
     pub fn encoded_bytes(&self) -> usize {
         encoded_size::of(self)
     }
-
-    /// Estimated size on the wire in bytes, for limiting message sizes.
-    pub fn estimated_bytes(&self) -> usize {
-        let EntryBody::Change(entry) = &self.body else {
-            return PART_BYTES;
-        };
-        let parts = match &entry.change {
-            ConfigChange::Apply(document) => {
-                document.services.len()
-                    + document.routes.len()
-                    + document.exceptions.len()
-            }
-            ConfigChange::SetHolders(roster) => roster.before.len() + roster.seats.len(),
-            ConfigChange::SetControls(roster) => roster.seats.len(),
-            _ => 0,
-        };
-        PART_BYTES * (parts + 1)
-    }
 }
--- a/crates/core/src/agreement/replica_log.rs
+++ b/crates/core/src/agreement/replica_log.rs
@@ -128,8 +128,35 @@
 
     /// The entries held from `index` on.
     pub fn from(&self, index: u64) -> impl Iterator<Item = &LogEntry> {
+        self.slots_from(index).map(|slot| &slot.entry)
+    }
+
+    /// The entries held from `index` on, the first always and the others as long as
+    /// they take no more than `count` and `bytes` with it.
+    pub fn batch_from(&self, index: u64, count: u64, bytes: usize) -> Vec<LogEntry> {
+        let mut batch = Vec::new();
+        let mut batch_bytes = 0;
+        for slot in self.slots_from(index) {
+            batch_bytes += slot.bytes;
+            let full = batch.len() as u64 >= count || batch_bytes > bytes;
+            if full && !batch.is_empty() {
+                break;
+            }
+            batch.push(slot.entry.clone());
+        }
+        batch
+    }
+
+    /// Encoded size in bytes of the entries held from `first` to before `end`.
+    pub fn bytes_between(&self, first: u64, end: u64) -> usize {
+        let count = end.saturating_sub(first.max(self.first_index())) as usize;
+        let slots = self.slots_from(first).take(count);
+        slots.map(|slot| slot.bytes).sum()
+    }
+
+    fn slots_from(&self, index: u64) -> impl Iterator<Item = &LogSlot> {
         let at = index.saturating_sub(self.start.index + 1);
-        self.slots.iter().skip(at as usize).map(|slot| &slot.entry)
+        self.slots.range((at as usize).min(self.slots.len())..)
     }
 
     /// Appends an entry.
--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -17,6 +17,7 @@
 use cowslip_core::agreement::MemberChange;
 use cowslip_core::agreement::MemberIdentity;
 use cowslip_core::agreement::MemberMessage;
+use cowslip_core::agreement::MessageBody;
 use cowslip_core::agreement::ProcessStart;
 use cowslip_core::agreement::ReopenedFolder;
 use cowslip_core::agreement::ReplicaAction;
@@ -27,6 +28,7 @@
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
+use cowslip_core::encoded_size;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::version::ConfigVersion;
 
@@ -72,6 +74,8 @@
     pub unknown: BTreeSet<Arc<str>>,
     pub member_answers: Vec<ChangeAnswer<MemberAnswer>>,
     next_ticket: u64,
+    /// Encoded size in bytes of the largest message with entries.
+    pub largest_message: usize,
     /// Messages take up to 20 ms and syncs up to 3 ms, as on small healthy
     /// machines, instead of 50 ms and 60 ms.
     pub low_latency: bool,
@@ -167,6 +171,7 @@
             unknown: BTreeSet::new(),
             member_answers: Vec::new(),
             next_ticket: 0,
+            largest_message: 0,
             low_latency: false,
         };
         for at in 0..fleet.instances.len() {
@@ -336,6 +341,7 @@
                 self.instances[at].unsynced.push((due, batch));
             }
             ReplicaAction::Send(to, message) => {
+                self.measure(&message);
                 for _ in 0..self.random.random_range(1..=2) {
                     let longest = if self.low_latency { 20 } else { 50 };
                     let delay = self.random.random_range(0..longest);
@@ -355,6 +361,16 @@
         }
     }
 
+    fn measure(&mut self, message: &MemberMessage) {
+        let MessageBody::Append { entries, .. } = &message.body else {
+            return;
+        };
+        if !entries.is_empty() {
+            let bytes = encoded_size::of(message);
+            self.largest_message = self.largest_message.max(bytes);
+        }
+    }
+
     fn record_answer(&mut self, ticket: u64, answer: ChangeAnswer<ChangeOutcome>) {
         let request = self
             .tickets
--- a/crates/core/tests/agreement/main.rs
+++ b/crates/core/tests/agreement/main.rs
@@ -2,6 +2,7 @@
 
 mod failures;
 mod fleet;
+mod heavy_changes;
 mod leader_hints;
 mod properties;
 mod replacements;
