--- a/crates/control/src/peer_sender.rs
+++ b/crates/control/src/peer_sender.rs
@@ -18,8 +18,10 @@
 
 use cowslip_core::agreement::MemberMessage;
 use cowslip_core::agreement::MessageBody;
+use cowslip_core::encoded_size;
 use cowslip_wire::agreement_messages::AgreeCall;
 use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::codec::MESSAGE_BYTES_MAX;
 use cowslip_wire::peer_client::PeerClient;
 use cowslip_wire::peer_client::PeerError;
 use cowslip_wire::process_log::LogValue;
@@ -28,10 +30,13 @@
 /// in a second.
 const QUEUE_CAPACITY: usize = 256;
 
-/// Maximum number of messages in one POST request. Each holds at most a megabyte
-/// of entries, and large ones are rare.
+/// Maximum number of messages in one POST request.
 const POST_MESSAGES_MAX: usize = 8;
 
+/// Maximum size of the messages in one POST request, in bytes; a larger message is
+/// sent alone. An eighth of what the receiver accepts.
+const POST_BYTES_MAX: usize = MESSAGE_BYTES_MAX / 8;
+
 /// Maximum number of instances with queues; a fleet has at most 18 instances.
 const PEERS_MAX: usize = 64;
 
@@ -97,17 +102,41 @@
         POST_TIMEOUT
     };
     actix_rt::spawn(async move {
-        let mut gathered = Vec::new();
-        while messages.recv_many(&mut gathered, POST_MESSAGES_MAX).await > 0 {
-            let call = AgreeCall {
-                messages: std::mem::take(&mut gathered),
-            };
+        let mut next = messages.recv().await;
+        while let Some(first) = next.take() {
+            let (gathered, left_over) = gather(first, &mut messages);
+            let call = AgreeCall { messages: gathered };
             post_messages(&client, address, call, timeout).await;
+            next = match left_over {
+                Some(message) => Some(message),
+                None => messages.recv().await,
+            };
         }
     });
     queue
 }
 
+/// Takes the messages that are sent with `first`, and the next one if it was taken but
+/// is too large to be sent with them.
+fn gather(
+    first: MemberMessage,
+    messages: &mut mpsc::Receiver<MemberMessage>,
+) -> (Vec<MemberMessage>, Option<MemberMessage>) {
+    let mut bytes = encoded_size::of(&first);
+    let mut gathered = vec![first];
+    while gathered.len() < POST_MESSAGES_MAX {
+        let Ok(message) = messages.try_recv() else {
+            break;
+        };
+        bytes += encoded_size::of(&message);
+        if bytes > POST_BYTES_MAX {
+            return (gathered, Some(message));
+        }
+        gathered.push(message);
+    }
+    (gathered, None)
+}
+
 /// Sends messages within `timeout`. If no connection can be made, nothing was
 /// sent, and the same messages are sent again. Returns once they are answered or
 /// given up, or after [`STALLED_AFTER`] without an answer, which may still come.
--- a/crates/control/tests/peer_sender.rs
+++ b/crates/control/tests/peer_sender.rs
@@ -2,11 +2,13 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,9 +16,13 @@
 use actix_rt::System;
 
 use cowslip_control::peer_sender::PeerSenders;
+use cowslip_core::agreement::EntryBody;
+use cowslip_core::agreement::LogEntry;
 use cowslip_core::agreement::MemberMessage;
 use cowslip_core::agreement::MessageBody;
 use cowslip_core::agreement::ProcessStart;
+use cowslip_core::change::ChangeEntry;
+use cowslip_core::change::ConfigChange;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::agreement_messages::AgreeCall;
@@ -149,3 +155,55 @@
         }
     });
 }
+
+/// Entries of one message, as large as a single change can be.
+const LARGE_BYTES: usize = 3 * 1024 * 1024;
+
+fn large_append(address: SocketAddr, index: u64) -> MemberMessage {
+    let entry = ChangeEntry {
+        request_id: "x".repeat(LARGE_BYTES).into(),
+        expected: None,
+        at_ms: 0,
+        change: ConfigChange::RemoveException { id: "none".into() },
+    };
+    let entry = LogEntry {
+        version: ConfigVersion::new(1, index),
+        body: EntryBody::Change(Arc::new(entry)),
+    };
+    let body = MessageBody::Append {
+        previous: ConfigVersion::new(1, index - 1),
+        entries: vec![entry],
+        commit: 0,
+        sent_at: Duration::ZERO,
+        marks: BTreeMap::new(),
+    };
+    MemberMessage {
+        body,
+        ..pre_vote(address)
+    }
+}
+
+// Guards against messages that are lost together: those that waited for one another make
+// a request that is larger than any instance accepts.
+#[test]
+fn large_messages_that_wait_together_all_arrive() {
+    System::new().block_on(async {
+        let recorder = Rc::new(MessageRecorder::default());
+        let handler = Rc::new(RecorderHandler(Rc::clone(&recorder)));
+        let listener = HttpListener::bind(free_address(), 8, handler);
+        let listener = listener.expect("a free port");
+        let address = listener.address();
+        let client = PeerClient::new(AccessKey::new("test-system"));
+        let mut senders = PeerSenders::new(client);
+        for index in 1..=8 {
+            senders.send(address, large_append(address, index));
+        }
+        let started = Instant::now();
+        while recorder.received.borrow().len() < 8 {
+            let received = recorder.received.borrow().len();
+            let waited = started.elapsed();
+            assert!(waited < RECEIVE_TIMEOUT, "{received} of 8 arrived");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
