--- a/crates/core/src/agreement/leadership.rs
+++ b/crates/core/src/agreement/leadership.rs
@@ -37,7 +37,7 @@
 /// Maximum size of the unacknowledged entries in flight to one member, in bytes;
 /// an entry is sent as long as those before it take less. Bounds the messages
 /// that wait for a slow member, and their decoding there.
-const WINDOW_BYTES: usize = 4 * APPEND_BYTES;
+const WINDOW_BYTES: usize = 2 * APPEND_BYTES;
 
 /// Maximum size of the entries in one message, in bytes; a larger entry is sent
 /// alone.
@@ -48,7 +48,7 @@
 const UNCOMMITTED_MAX: u64 = 1_024;
 
 /// Maximum size of the uncommitted entries, in bytes; further changes are refused.
-const UNCOMMITTED_BYTES_MAX: usize = 2 * WINDOW_BYTES;
+const UNCOMMITTED_BYTES_MAX: usize = 8 * APPEND_BYTES;
 
 /// Replication progress of one other member.
 #[derive(Clone, Debug, Default)]
