Earlier documents kept for followers are bounded in bytes

Cause: 64 earlier documents are kept as bases of deltas, whatever they weigh: with 12,000 routes over 64 MB. Change: what a document does not share with the next one is counted, and the oldest are dropped over 8 MB. Documents that share their routes are kept as before. Evidence: earlier_documents_are_bounded_in_bytes fails before: 16,981,356 bytes after 14 versions of 12,000 routes. earlier_documents_that_share_their_routes_are_kept passes before and after. Result: both pass.

--- a/crates/core/src/config_history.rs
+++ b/crates/core/src/config_history.rs
@@ -8,6 +8,7 @@
 //! that followers hold, and one encoded snapshot for all others.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -18,6 +19,8 @@
 use crate::config_digest::ConfigDigest;
 use crate::control_state::ConfigSnapshot;
 use crate::document::FleetDocument;
+use crate::document::RouteSpec;
+use crate::encoded_size;
 use crate::follower_queue::FollowerState;
 use crate::snapshot_chunks::ChunkedSnapshot;
 use crate::snapshot_chunks::SnapshotHeader;
@@ -25,11 +28,14 @@
 
 /// Maximum number of earlier documents kept as bases of deltas. At 13,000
 /// changes a day they cover seven minutes, enough for a reconnect storm or a
-/// node's pause. Documents share their strings, so each takes about 0.25 MB at
-/// the size expected in two years; all of them take 16 MB of a control
-/// instance's memory.
+/// node's pause.
 const BASES_MAX: usize = 64;
 
+/// Maximum size of what these documents do not share with later ones, in bytes as it
+/// is encoded. At the size expected in two years all of them take less, unless
+/// changes replace most of the document; then followers get snapshots anyway.
+const BASES_BYTES_MAX: usize = 8 * 1024 * 1024;
+
 /// Largest snapshot, in bytes, whose chunk is sent along with its header.
 const INLINE_BYTES_MAX: u32 = 16 * 1024;
 
@@ -48,12 +54,22 @@
 /// A computed delta; `None` if a snapshot is to be sent instead.
 type CachedDelta = Option<Arc<ConfigDelta>>;
 
+/// An earlier document.
+#[derive(Debug)]
+struct BaseDocument {
+    document: Arc<FleetDocument>,
+    /// Encoded size in bytes of what it does not share with the next version.
+    bytes: usize,
+}
+
 /// The configuration in force and the deltas to it from earlier versions.
 #[derive(Debug, Default)]
 pub struct ConfigHistory {
     current: ConfigSnapshot,
     digest: ConfigDigest,
-    bases: BTreeMap<ConfigVersion, Arc<FleetDocument>>,
+    bases: BTreeMap<ConfigVersion, BaseDocument>,
+    /// Sum of the sizes of all bases.
+    base_bytes: usize,
     deltas: BTreeMap<ConfigVersion, CachedDelta>,
     encoded: Option<ChunkedSnapshot>,
 }
@@ -72,14 +88,27 @@
         }
         self.digest = ConfigDigest::of_document(&snapshot.document);
         let earlier = std::mem::replace(&mut self.current, snapshot);
-        self.bases.insert(earlier.version, earlier.document);
-        if self.bases.len() > BASES_MAX {
-            self.bases.pop_first();
-        }
+        self.keep_base(earlier);
         self.deltas.clear();
         true
     }
 
+    /// Keeps an earlier version as a base, and drops the oldest ones that are too many
+    /// or too large.
+    fn keep_base(&mut self, earlier: ConfigSnapshot) {
+        let document = earlier.document;
+        let bytes = unshared_bytes(&document, &self.current.document);
+        self.base_bytes += bytes;
+        let base = BaseDocument { document, bytes };
+        self.bases.insert(earlier.version, base);
+        while self.bases.len() > BASES_MAX || self.base_bytes > BASES_BYTES_MAX {
+            let Some((_, dropped)) = self.bases.pop_first() else {
+                return;
+            };
+            self.base_bytes -= dropped.bytes;
+        }
+    }
+
     /// True if there is no update for `follower`.
     pub fn is_current(&self, follower: &FollowerState) -> bool {
         follower.held.max(follower.refused) >= self.current.version
@@ -169,7 +198,7 @@
         }
         let base = ConfigSnapshot {
             version: held,
-            document: Arc::clone(self.bases.get(&held)?),
+            document: Arc::clone(&self.bases.get(&held)?.document),
         };
         let delta = ConfigDelta::between(&base, &self.current, self.digest);
         let delta = delta.filter(|delta| delta.is_preferred_to_snapshot(&self.current));
@@ -178,3 +207,19 @@
         cached
     }
 }
+
+/// Encoded size in bytes of what `document` does not share with `next`. Routes that are
+/// the same in both are shared; other parts are copied with each version.
+fn unshared_bytes(document: &FleetDocument, next: &FleetDocument) -> usize {
+    let shared: HashSet<_> = next.routes.iter().map(Arc::as_ptr).collect();
+    let mut bytes = encoded_size::of(&document.services)
+        + encoded_size::of(&document.exceptions)
+        + encoded_size::of(&document.quarantines);
+    for route in &document.routes {
+        bytes += size_of::<Arc<RouteSpec>>();
+        if !shared.contains(&Arc::as_ptr(route)) {
+            bytes += encoded_size::of(route);
+        }
+    }
+    bytes
+}
--- a/crates/core/tests/config_delta.rs
+++ b/crates/core/tests/config_delta.rs
@@ -20,6 +20,7 @@
 use cowslip_core::document::FleetDocument;
 use cowslip_core::document::RouteSpec;
 use cowslip_core::document::ServiceSpec;
+use cowslip_core::encoded_size;
 use cowslip_core::follower_queue::FollowerState;
 use cowslip_core::quarantine::QuarantineEntry;
 use cowslip_core::snapshot_chunks::ChunkAssembly;
@@ -307,6 +308,47 @@
     }
 }
 
+/// Most memory for earlier documents, in bytes as they are encoded: what they take at the
+/// size expected in two years.
+const EARLIER_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+// Guards against control instances that run out of memory by the earlier documents that
+// they keep for followers: each change replaces all routes of a large document.
+#[test]
+fn earlier_documents_are_bounded_in_bytes() {
+    let mut history = ConfigHistory::default();
+    let mut published = Vec::new();
+    for index in 1..=70 {
+        let mut document = large(12_000);
+        for route in &mut document.routes {
+            Arc::make_mut(route).timeout_ms = Some(index);
+        }
+        let snapshot = snapshot(index, document);
+        published.push(Arc::downgrade(&snapshot.document));
+        history.publish(snapshot);
+        let kept = published.iter().filter_map(std::sync::Weak::upgrade);
+        let sizes = kept.map(|document| encoded_size::of(&document));
+        let bytes: usize = sizes.sum();
+        assert!(bytes < EARLIER_BYTES_MAX, "{bytes} bytes after {index}");
+    }
+}
+
+// Guards against followers that get the whole document because the bound of the earlier
+// ones counts what they share: each change replaces one route of a large document.
+#[test]
+fn earlier_documents_that_share_their_routes_are_kept() {
+    let mut history = ConfigHistory::default();
+    let mut document = large(12_000);
+    let first = snapshot(1, document.clone());
+    history.publish(first.clone());
+    for index in 2..=60 {
+        Arc::make_mut(&mut document.routes[index as usize]).timeout_ms = Some(index);
+        history.publish(snapshot(index, document.clone()));
+    }
+    let update = history.update_for(&follower_state(&first));
+    assert!(matches!(update, ConfigUpdate::Delta(_)));
+}
+
 // An operator adds a thousand routes at once. Every node fetches the whole
 // document chunk by chunk, and a small control instance takes 10 ms for each.
 // With five chunks the last nodes route by the old document for three seconds.
