Kept answers to refused changes are bounded in bytes

The answer to each refused change was part of the state with all its faults, up to 65,536 of them. Cause: kept answers are bounded by number only. Change: the reasons of refused changes take 1 MB at most; a resend of an older one is refused without them. Which answers are kept does not change, so that instances of two builds go on deciding alike; only the texts of old refusals differ between them. The stored form stays. Request IDs have 256 bytes at most. Evidence: answers_to_refused_changes_are_bounded_in_bytes fails before, with the state growing by the whole answer of each of 100 refused changes. Result: it passes; a member that restores the state decides like one that applied all.

--- a/crates/control/src/control_handler.rs
+++ b/crates/control/src/control_handler.rs
@@ -197,6 +197,10 @@
         &self,
         mut entry: ChangeEntry,
     ) -> Result<LeaderAnswer<ChangeOutcome>, HttpReply> {
+        if let Err(fault) = entry.check_request_id() {
+            let faults = vec![fault];
+            return Ok(LeaderAnswer::Answered(ChangeOutcome::Invalid { faults }));
+        }
         if let Err(refused) = self.rollout_api.prepare_change(&mut entry).await {
             return Ok(LeaderAnswer::Answered(refused));
         }
--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -16,6 +16,9 @@
 use crate::tuning::TuningKey;
 use crate::version::ConfigVersion;
 
+/// Maximum length of a request ID in bytes.
+const REQUEST_ID_BYTES_MAX: usize = 256;
+
 /// One change of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigChange {
@@ -163,6 +166,20 @@
     pub change: ConfigChange,
 }
 
+impl ChangeEntry {
+    /// Returns the fault of a request ID that is too long to be kept with its answer.
+    pub fn check_request_id(&self) -> Result<(), DocumentFault> {
+        let bytes = self.request_id.len();
+        if bytes <= REQUEST_ID_BYTES_MAX {
+            return Ok(());
+        }
+        Err(DocumentFault {
+            path: "request_id".to_owned(),
+            problem: format!("{bytes} bytes are too long; use {REQUEST_ID_BYTES_MAX}"),
+        })
+    }
+}
+
 /// Outcome of a change. A resend gets the same one, but a refused revision is
 /// decided again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -21,6 +21,8 @@
 use crate::document::DocumentFault;
 use crate::document::EvacuationEntry;
 use crate::document::FleetDocument;
+use crate::fault_texts;
+use crate::fault_texts::FaultTexts;
 use crate::rollout::rollout_registry::RolloutRegistry;
 use crate::version::ConfigVersion;
 
@@ -56,19 +58,51 @@
 
 /// State that every control instance derives from the replicated log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredState")]
 pub struct ControlState {
     snapshot: ConfigSnapshot,
     winner: Arc<str>,
     answers: BTreeMap<Arc<str>, ChangeOutcome>,
     answer_order: VecDeque<Arc<str>>,
+    /// Derived from the answers.
+    #[serde(skip)]
+    fault_texts: FaultTexts,
     history: VecDeque<AcceptedChange>,
-    #[serde(default)]
     rollouts: RolloutRegistry,
     /// Number of the operators' revision in force; 0 before the first.
+    revision: u64,
+}
+
+/// The stored form of the state.
+#[derive(Deserialize)]
+struct StoredState {
+    snapshot: ConfigSnapshot,
+    winner: Arc<str>,
+    answers: BTreeMap<Arc<str>, ChangeOutcome>,
+    answer_order: VecDeque<Arc<str>>,
+    history: VecDeque<AcceptedChange>,
+    #[serde(default)]
+    rollouts: RolloutRegistry,
     #[serde(default)]
     revision: u64,
 }
 
+impl From<StoredState> for ControlState {
+    fn from(stored: StoredState) -> Self {
+        let fault_texts = FaultTexts::of_answers(&stored.answers, &stored.answer_order);
+        Self {
+            snapshot: stored.snapshot,
+            winner: stored.winner,
+            answers: stored.answers,
+            answer_order: stored.answer_order,
+            fault_texts,
+            history: stored.history,
+            rollouts: stored.rollouts,
+            revision: stored.revision,
+        }
+    }
+}
+
 impl ControlState {
     /// The configuration in force.
     pub fn snapshot(&self) -> &ConfigSnapshot {
@@ -189,11 +223,17 @@
     fn keep_answer(&mut self, request_id: &Arc<str>, outcome: &ChangeOutcome) {
         self.answers.insert(Arc::clone(request_id), outcome.clone());
         self.answer_order.push_back(Arc::clone(request_id));
-        if self.answer_order.len() <= ANSWERS_MAX {
-            return;
+        self.fault_texts.add(request_id, outcome);
+        if self.answer_order.len() > ANSWERS_MAX {
+            if let Some(oldest) = self.answer_order.pop_front() {
+                self.answers.remove(&oldest);
+                self.fault_texts.remove(&oldest);
+            }
         }
-        if let Some(oldest) = self.answer_order.pop_front() {
-            self.answers.remove(&oldest);
+        while let Some(oldest) = self.fault_texts.pop_excess() {
+            if let Some(answer) = self.answers.get_mut(&oldest) {
+                *answer = fault_texts::without_texts();
+            }
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod endpoint_announcer;
 pub mod endpoint_lease;
 pub mod entry_router;
+mod fault_texts;
 pub mod follow_exchange;
 pub mod follower_queue;
 pub mod load;
