An order too large for a message between instances is refused

What callers saw: nothing yet; found when the sizes of entries were followed from the operator to the log. A control instance that took an order of 16 MB accepted no other order any more. Cause: an order may be as large as a message, and an entry in a message between instances is a little larger than the order was. The leader appends it, every other instance refuses the request that holds it, and the log stops there. Change: a change of more than 8 MB is refused with its size. A configuration through the platform has at most 4 MB, about 8 MB as an entry; 440 services with ten routes have 1 MB. Evidence: an_order_too_large_to_be_agreed_on_is_refused fails before: no answer in 10 s. Result: it passes.

--- a/crates/control/tests/heavy_changes.rs
+++ b/crates/control/tests/heavy_changes.rs
@@ -10,6 +10,8 @@
 use cowslip_core::document::FleetDocument;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::access_key::AccessKey;
+use cowslip_wire::codec;
+use cowslip_wire::codec::MESSAGE_BYTES_MAX;
 use cowslip_wire::messages::ChangeCall;
 use cowslip_wire::messages::ShowCall;
 use cowslip_wire::peer_client::PeerClient;
@@ -28,9 +30,9 @@
 /// Most memory and disk space that a control instance may use, in bytes.
 const LIMIT_BYTES: u64 = 64 * 1024 * 1024;
 
-fn change(number: usize) -> ChangeCall {
+fn change(number: usize, bytes: usize) -> ChangeCall {
     let mut document = FleetDocument::default();
-    let label = format!("{number}-{}", "x".repeat(CHANGE_BYTES));
+    let label = format!("{number}-{}", "x".repeat(bytes));
     document.labels.insert("note".into(), label.into());
     let entry = ChangeEntry {
         request_id: format!("change-{number}").into(),
@@ -88,7 +90,7 @@
         let client = client();
         let mut newest = ConfigVersion::ZERO;
         for number in 0..CHANGES {
-            match ask(&client, &addresses, &change(number)).await {
+            match ask(&client, &addresses, &change(number, CHANGE_BYTES)).await {
                 ChangeOutcome::Accepted { version } => newest = version,
                 refused => panic!("change {number}: {refused:?}"),
             }
@@ -110,3 +112,27 @@
     assert_eq!(shown.version, newest);
     check_limits(&fleet, "after the kill");
 }
+
+// Guards against a log that stops for good: an order as large as a message may be is one
+// that the leader can take and no other instance can receive.
+#[test]
+fn an_order_too_large_to_be_agreed_on_is_refused() {
+    let fleet = ControlFleet::spawn();
+    let addresses = fleet.addresses.clone();
+    let empty = codec::encode(&change(1, 0)).expect("it is encoded").len();
+    // Longer strings have a longer length field.
+    let largest = change(1, MESSAGE_BYTES_MAX - empty - 8);
+    actix_rt::System::new().block_on(async {
+        let client = PeerClient::new(AccessKey::new(OPERATOR_KEY));
+        let small = change(2, 10);
+        ask(&client, &addresses, &change(0, 10)).await;
+        let sent = actix_rt::time::timeout(
+            Duration::from_secs(10),
+            ask(&client, &addresses, &largest),
+        );
+        let refused = sent.await.expect("it is answered");
+        assert!(matches!(refused, ChangeOutcome::Invalid { .. }));
+        let outcome = ask(&client, &addresses, &small).await;
+        assert!(matches!(outcome, ChangeOutcome::Accepted { .. }));
+    });
+}
--- a/crates/core/src/agreement/state_replica.rs
+++ b/crates/core/src/agreement/state_replica.rs
@@ -24,9 +24,15 @@
 use crate::change::ChangeOutcome;
 use crate::control_state::ConfigSnapshot;
 use crate::control_state::ControlState;
+use crate::document::DocumentFault;
 use crate::document::LabelStripper;
+use crate::encoded_size;
 use crate::version::ConfigVersion;
 
+/// Maximum size of a change in bytes: half of what a message between instances may
+/// have, which must also hold a snapshot with the change in it.
+const CHANGE_BYTES_MAX: usize = 8 * 1024 * 1024;
+
 /// An event that a replica handles.
 #[derive(Clone, Debug)]
 pub enum ReplicaEvent {
@@ -254,6 +260,13 @@
                 return;
             }
         }
+        if let Some(fault) = size_fault(&entry) {
+            let faults = vec![fault];
+            let answer = ChangeAnswer::Decided(ChangeOutcome::Invalid { faults });
+            self.actions
+                .push(ReplicaAction::AnswerChange(ticket, answer));
+            return;
+        }
         let body = EntryBody::Change(Arc::new(entry));
         let Some(version) = self.agreement.propose(now, body) else {
             let answer = ChangeAnswer::NotLeading;
@@ -396,3 +409,14 @@
         }
     }
 }
+
+/// The fault of a change that is too large.
+///
+/// Guards against a log that stops for good at an entry that no other member receives.
+fn size_fault(entry: &ChangeEntry) -> Option<DocumentFault> {
+    let bytes = encoded_size::of(entry);
+    (bytes > CHANGE_BYTES_MAX).then(|| DocumentFault {
+        path: "(change)".to_owned(),
+        problem: format!("{bytes} bytes are too large; use {CHANGE_BYTES_MAX}"),
+    })
+}
