A control instance is reached however many were replaced before it

Cause: two queues are kept for each address that was ever sent to, and none is opened after 128. Change: where there are 128, the one that was not used for the longest time is closed. Evidence: an_instance_is_reached_after_many_that_are_gone fails before: the message was lost. Result: it passes.

--- a/crates/control/src/peer_sender.rs
+++ b/crates/control/src/peer_sender.rs
@@ -37,8 +37,9 @@
 /// sent alone. An eighth of what the receiver accepts.
 const POST_BYTES_MAX: usize = MESSAGE_BYTES_MAX / 8;
 
-/// Maximum number of instances with queues; a fleet has at most 18 instances.
-const PEERS_MAX: usize = 64;
+/// Maximum number of queues: two to each of 64 addresses. A fleet has at most 18
+/// instances; those that were replaced are no longer sent to.
+const QUEUES_MAX: usize = 2 * 64;
 
 /// Timeout of a POST request; about the length of the lease, after which the
 /// messages are useless.
@@ -61,7 +62,17 @@
 /// Queues to the other instances.
 pub struct PeerSenders {
     client: PeerClient,
-    queues: BTreeMap<(SocketAddr, bool), mpsc::Sender<MemberMessage>>,
+    /// Queues by address, for snapshots and for other messages.
+    queues: BTreeMap<(SocketAddr, bool), PeerQueue>,
+    /// Number of messages queued so far.
+    sent: u64,
+}
+
+/// The queue to one instance.
+struct PeerQueue {
+    messages: mpsc::Sender<MemberMessage>,
+    /// Number of the last message queued.
+    last_sent: u64,
 }
 
 impl PeerSenders {
@@ -70,6 +81,7 @@
         Self {
             client,
             queues: BTreeMap::new(),
+            sent: 0,
         }
     }
 
@@ -77,15 +89,25 @@
     pub fn send(&mut self, address: SocketAddr, message: MemberMessage) {
         let snapshot = matches!(message.body, MessageBody::Install { .. });
         let key = (address, snapshot);
-        if !self.queues.contains_key(&key) {
-            if self.queues.len() >= 2 * PEERS_MAX {
-                return;
-            }
-            let queue = spawn_queue(self.client.clone(), address, snapshot);
-            self.queues.insert(key, queue);
+        if !self.queues.contains_key(&key) && self.queues.len() >= QUEUES_MAX {
+            self.close_oldest();
         }
-        if let Some(queue) = self.queues.get(&key) {
-            let _ = queue.try_send(message);
+        let queue = self.queues.entry(key).or_insert_with(|| PeerQueue {
+            messages: spawn_queue(self.client.clone(), address, snapshot),
+            last_sent: 0,
+        });
+        self.sent += 1;
+        queue.last_sent = self.sent;
+        let _ = queue.messages.try_send(message);
+    }
+
+    /// Closes the queue that was not used for the longest time. What waits in it is
+    /// still sent.
+    fn close_oldest(&mut self) {
+        let queues = self.queues.iter();
+        let oldest = queues.min_by_key(|(_, queue)| queue.last_sent);
+        if let Some(key) = oldest.map(|(key, _)| *key) {
+            self.queues.remove(&key);
         }
     }
 }
--- a/crates/control/tests/peer_sender.rs
+++ b/crates/control/tests/peer_sender.rs
@@ -207,3 +207,29 @@
         }
     });
 }
+
+// Guards against a new voter that never joins, because its leader keeps queues to all
+// instances that were replaced before and opens no more.
+#[test]
+fn an_instance_is_reached_after_many_that_are_gone() {
+    System::new().block_on(async {
+        let recorder = Rc::new(MessageRecorder::default());
+        let handler = Rc::new(RecorderHandler(Rc::clone(&recorder)));
+        let listener = HttpListener::bind(free_address(), 8, handler);
+        let listener = listener.expect("a free port");
+        let address = listener.address();
+        let client = PeerClient::new(AccessKey::new("test-system"));
+        let mut senders = PeerSenders::new(client);
+        for number in 0..200 {
+            let gone = SocketAddr::new(address.ip(), 1 + number);
+            senders.send(gone, pre_vote(gone));
+        }
+        senders.send(address, pre_vote(address));
+        let started = Instant::now();
+        while recorder.received.borrow().is_empty() {
+            let waited = started.elapsed();
+            assert!(waited < RECEIVE_TIMEOUT, "the message was lost");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
