Addresses that tests give to processes stay reserved until these bind them

What callers saw: nothing; a_failure_domain_is_evacuated_and_taken_back failed once, since a control process found its address in use at its start. Cause: tests chose an address by binding it, and released it before the process that was to have it bound it. Who took it then is not traced. Test processes whose ids differ by 256 also use the same IP addresses.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -1,10 +1,7 @@
 //! A fleet of separate processes: 3 control instances and 9 nodes.
 
 use std::fs;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -22,6 +19,11 @@
 use cowslip_cli::stand_in::StandIn;
 use cowslip_cli::stand_in::StandInConfig;
 
+use self::reserved_address::reserve;
+
+#[path = "../../control/tests/support/reserved_address.rs"]
+mod reserved_address;
+
 const CONTROLS: u8 = 3;
 const NODES: u8 = 9;
 const CALLS: usize = 1_000;
@@ -36,16 +38,6 @@
   - {path: /prices, service: records, priority: high}
 ";
 
-/// Returns an unused address on a loopback IP address that only this test
-/// process uses, so that no outgoing connection can take the port before the
-/// started process binds it.
-fn unused_address(number: u8) -> SocketAddr {
-    let pid = std::process::id().to_be_bytes();
-    let own = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], number));
-    let bound = TcpListener::bind(SocketAddr::new(own, 0)).expect("a free port");
-    bound.local_addr().expect("its address")
-}
-
 fn program_path(name: &str) -> PathBuf {
     let beside = Path::new(env!("CARGO_BIN_EXE_cowslip")).with_file_name(name);
     assert!(
@@ -78,7 +70,7 @@
     fn spawn() -> Self {
         let mut fleet = Self {
             folder: tempfile::tempdir().expect("a folder"),
-            controls: (1..=CONTROLS).map(unused_address).collect(),
+            controls: (1..=CONTROLS).map(reserve).collect(),
             callers: Vec::new(),
             locals: Vec::new(),
             children: Vec::new(),
@@ -106,14 +98,14 @@
              listen: {}\nadmin_listen: {}\ndata_folder: {}\nmembers:\n{members}\
              operator_key: test-operator\nsystem_key: test-system\n",
             self.controls[usize::from(number)],
-            unused_address(10 + number),
+            reserve(10 + number),
             folder.display()
         )
     }
 
     fn node_settings(&mut self, number: u8) -> String {
-        let callers = unused_address(20 + number);
-        let local = unused_address(40 + number);
+        let callers = reserve(20 + number);
+        let local = reserve(40 + number);
         self.callers.push(callers);
         self.locals.push(local);
         let controls: Vec<String> =
@@ -123,8 +115,8 @@
              callers_listen: {callers}\nlocal_listen: {local}\npeer_listen: {}\n\
              admin_listen: {}\ncontrols: [{}]\nsystem_key: test-system\n",
             number % CONTROLS,
-            unused_address(60 + number),
-            unused_address(80 + number),
+            reserve(60 + number),
+            reserve(80 + number),
             controls.join(", ")
         )
     }
--- a/crates/control/tests/control_daemon.rs
+++ b/crates/control/tests/control_daemon.rs
@@ -1,10 +1,5 @@
 //! What a control instance exports.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
-use std::net::SocketAddr;
-use std::net::TcpListener;
-
 use actix_rt::System;
 use awc::Client;
 
@@ -14,21 +9,18 @@
 use cowslip_control::control_settings::MemberAddress;
 use cowslip_wire::access_key::AccessKey;
 
-/// Returns a free address on a loopback IP address that only this test process uses.
-fn unused_address(number: u8) -> SocketAddr {
-    let pid = std::process::id().to_be_bytes();
-    let own = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], number));
-    let bound = TcpListener::bind(SocketAddr::new(own, 0)).expect("a free port");
-    bound.local_addr().expect("its address")
-}
+use self::reserved_address::reserve;
+
+#[path = "support/reserved_address.rs"]
+mod reserved_address;
 
 // Guards against counters that are registered and never exported.
 #[test]
 fn the_metrics_of_all_parts_are_exported() {
     System::new().block_on(async {
         let folder = tempfile::tempdir().expect("a folder");
-        let listen = unused_address(1);
-        let admin_listen = unused_address(2);
+        let listen = reserve(1);
+        let admin_listen = reserve(2);
         let settings = ControlSettings {
             joining: None,
             node_live: None,
--- a/crates/control/tests/peer_sender.rs
+++ b/crates/control/tests/peer_sender.rs
@@ -3,10 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +29,11 @@
 use cowslip_wire::message_reply;
 use cowslip_wire::peer_client::PeerClient;
 
+use self::reserved_address::reserve;
+
+#[path = "support/reserved_address.rs"]
+mod reserved_address;
+
 /// Time after the message at which the other instance listens: longer than any
 /// single attempt to connect, and shorter than a message is worth sending.
 const START_DELAY: Duration = Duration::from_millis(400);
@@ -62,15 +64,6 @@
     }
 }
 
-/// Returns a free address on a loopback IP address that only this test process
-/// uses, so that no other test can take the port before it is bound again.
-fn free_address() -> SocketAddr {
-    let pid = std::process::id().to_be_bytes();
-    let address = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], 9));
-    let socket = TcpListener::bind(SocketAddr::new(address, 0)).expect("a free port");
-    socket.local_addr().expect("its address")
-}
-
 fn pre_vote(address: SocketAddr) -> MemberMessage {
     MemberMessage {
         from: "control-1".into(),
@@ -92,7 +85,7 @@
 #[test]
 fn a_question_reaches_an_instance_that_starts_later() {
     System::new().block_on(async {
-        let address = free_address();
+        let address = reserve(9);
         let client = PeerClient::new(AccessKey::new("test-system"));
         let mut senders = PeerSenders::new(client);
         senders.send(address, pre_vote(address));
@@ -141,7 +134,7 @@
             hung: Cell::new(false),
             recorder: RecorderHandler(Rc::clone(&recorder)),
         });
-        let listener = HttpListener::bind(free_address(), 8, handler);
+        let listener = HttpListener::bind(reserve(9), 8, handler);
         let listener = listener.expect("a free port");
         let address = listener.address();
         let client = PeerClient::new(AccessKey::new("test-system"));
@@ -190,7 +183,7 @@
     System::new().block_on(async {
         let recorder = Rc::new(MessageRecorder::default());
         let handler = Rc::new(RecorderHandler(Rc::clone(&recorder)));
-        let listener = HttpListener::bind(free_address(), 8, handler);
+        let listener = HttpListener::bind(reserve(9), 8, handler);
         let listener = listener.expect("a free port");
         let address = listener.address();
         let client = PeerClient::new(AccessKey::new("test-system"));
@@ -215,7 +208,7 @@
     System::new().block_on(async {
         let recorder = Rc::new(MessageRecorder::default());
         let handler = Rc::new(RecorderHandler(Rc::clone(&recorder)));
-        let listener = HttpListener::bind(free_address(), 8, handler);
+        let listener = HttpListener::bind(reserve(9), 8, handler);
         let listener = listener.expect("a free port");
         let address = listener.address();
         let client = PeerClient::new(AccessKey::new("test-system"));
--- a/crates/control/tests/support/control_fleet.rs
+++ b/crates/control/tests/support/control_fleet.rs
@@ -1,10 +1,7 @@
 //! Control instances as processes of their own.
 
 use std::fs;
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::process::Child;
 use std::process::Command;
 use std::time::Duration;
@@ -16,6 +13,11 @@
 use cowslip_wire::messages::WireCall;
 use cowslip_wire::peer_client::PeerClient;
 
+use self::reserved_address::reserve;
+
+#[path = "reserved_address.rs"]
+mod reserved_address;
+
 /// Access key of operators.
 pub const OPERATOR_KEY: &str = "test-operator";
 
@@ -27,16 +29,6 @@
 /// Timeout for an answer of the leader; only a broken fleet reaches it.
 const TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Returns a free address on a loopback IP address that only this test process
-/// uses, so that no outgoing connection can take the port before the control
-/// process binds it.
-fn free_address(number: u8) -> SocketAddr {
-    let pid = std::process::id().to_be_bytes();
-    let address = IpAddr::V4(Ipv4Addr::new(127, pid[2] | 1, pid[3], number));
-    let listener = TcpListener::bind(SocketAddr::new(address, 0)).expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 /// Control processes that are killed when the test ends, even if it fails.
 pub struct ControlFleet {
     /// Holds the data folder of each instance, `data-0` and so on.
@@ -60,7 +52,7 @@
     pub fn spawn() -> Self {
         let mut fleet = Self {
             folder: tempfile::tempdir().expect("a folder"),
-            addresses: (1..=CONTROLS).map(free_address).collect(),
+            addresses: (1..=CONTROLS).map(reserve).collect(),
             children: Vec::new(),
         };
         for number in 0..CONTROLS {
@@ -83,7 +75,7 @@
              listen: {}\nadmin_listen: {}\ndata_folder: {}\nmembers:\n{members}\
              operator_key: {OPERATOR_KEY}\nsystem_key: {SYSTEM_KEY}\n",
             self.addresses[usize::from(number)],
-            free_address(10 + number),
+            reserve(10 + number),
             folder.display()
         );
         let file = self.folder.path().join(format!("control-{number}.yaml"));
