Bytes without content end a message within 64 KB, on both HTTP sides

Cause: such bytes are valid HTTP and were read for as long as the call lasted. Change: the bytes of a message that carry no content are counted, on a request's body and on a response: 64 KB, and eight for each byte of content. Heads of interim responses and of responses to other requests count as such; a body of a response to another request is read up to 1 MB. Then the connection is closed. Evidence: bytes_without_content_end_an_exchange_soon fails before (interim: ended after 5.04 s, the call's timeout), a_request_body_without_content_ends_soon as well (33,558,507 bytes were read). Result: both pass; a body of 100,000 chunks of one byte is read to its end. Open: a head that is cut in the middle and followed by a whole one, and foreign answers as evidence against their server.

--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -33,6 +33,7 @@
 
 use cowslip_core::connection_renewal::PoolGeneration;
 use cowslip_wire::boot_instant::BootInstant;
+use cowslip_wire::framing_budget::FramingBudget;
 use cowslip_wire::process_log::LogValue;
 use cowslip_wire::socket_read::read_ready;
 use cowslip_wire::socket_read::BODY_READ_BYTES;
@@ -62,6 +63,9 @@
 /// Unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES_MAX: u32 = 2;
 
+/// Longest body of a response to another request that is read to its end, in bytes.
+const DISCARDED_BYTES_MAX: usize = 1024 * 1024;
+
 /// Header that states the other side's idle timeout.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -89,6 +93,8 @@
     generation: PoolGeneration,
     read_state: ReadState,
     received: BytesMut,
+    /// Budget of the body that is being read.
+    budget: FramingBudget,
     reusable: bool,
     expires_at: BootInstant,
 }
@@ -121,6 +127,7 @@
             generation,
             read_state: ReadState::Idle(codec),
             received: BytesMut::new(),
+            budget: FramingBudget::default(),
             reusable: false,
             expires_at: BootInstant::now() + IDLE_TIMEOUT,
         })
@@ -189,6 +196,7 @@
                 }
             }
         };
+        self.budget = FramingBudget::default();
         let head = answer.head;
         // Guards against a server that responds before it has read the whole
         // body: it would read the next request as the rest of that body.
@@ -227,7 +235,7 @@
                 ReadState::UntilClose if self.received.is_empty() => {}
                 ReadState::UntilClose => return Ok(Some(self.received.split().freeze())),
                 ReadState::Framed(payload) => {
-                    match payload.decode(&mut self.received)? {
+                    match decode_body(payload, &mut self.received, &mut self.budget)? {
                         Some(Some(part)) => return Ok(Some(part)),
                         Some(None) => {
                             self.finish_body();
@@ -267,6 +275,22 @@
     }
 }
 
+/// Decodes the next part of a body, as the codec does; fails if bytes without content
+/// go on without end.
+fn decode_body(
+    payload: &mut ClientPayloadCodec,
+    received: &mut BytesMut,
+    budget: &mut FramingBudget,
+) -> Result<Option<Option<Bytes>>, PayloadError> {
+    let available = received.len();
+    let decoded = payload.decode(received)?;
+    let part = decoded.as_ref().and_then(Option::as_ref);
+    let content = part.map_or(0, Bytes::len);
+    let taken = available - received.len();
+    budget.record(taken, content).map_err(PayloadError::Io)?;
+    Ok(decoded)
+}
+
 /// Returns true for a response whose body has no stated length and ends when the
 /// connection closes, whatever the codec reports for it.
 fn is_close_delimited(head: &ResponseHead, request: &HopRequest) -> bool {
@@ -363,8 +387,16 @@
     request: &HopRequest,
 ) -> Result<MatchingHead, ExchangeError> {
     let mut follows_unidentified = false;
+    let mut budget = FramingBudget::default();
     loop {
-        let head = read_head(reader, codec, received).await?;
+        let (head, head_bytes) = read_head(reader, codec, received).await?;
+        if request.is_answered_by(&head) && !head.status.is_informational() {
+            return Ok(MatchingHead {
+                head,
+                follows_unidentified,
+            });
+        }
+        budget.record(head_bytes, 0)?;
         if head.status.is_informational() {
             // The codec must not decode a head where a body is due.
             if codec.message_type() != MessageType::None {
@@ -373,12 +405,6 @@
             }
             continue;
         }
-        if request.is_answered_by(&head) {
-            return Ok(MatchingHead {
-                head,
-                follows_unidentified,
-            });
-        }
         let echoed = request.echoed_id(&head);
         follows_unidentified |= echoed.is_none();
         info!(
@@ -391,7 +417,7 @@
             let problem = "a response to another request ends only with the connection";
             return Err(ExchangeError::Broken(problem.to_owned()));
         }
-        discard_body(reader, codec, received).await?;
+        discard_body(reader, codec, received, &mut budget).await?;
     }
 }
 
@@ -402,17 +428,19 @@
     LogValue(String::from_utf8_lossy(id).into_owned())
 }
 
+/// Reads a response head; returns it and its length in bytes.
 async fn read_head(
     reader: &mut ReadHalf<'_>,
     codec: &mut ClientCodec,
     received: &mut BytesMut,
-) -> Result<ResponseHead, ExchangeError> {
+) -> Result<(ResponseHead, usize), ExchangeError> {
     loop {
+        let available = received.len();
         let decoded = codec.decode(received);
         let decoded =
             decoded.map_err(|error| ExchangeError::Broken(error.to_string()))?;
         if let Some(head) = decoded {
-            return Ok(head);
+            return Ok((head, available - received.len()));
         }
         read_more(reader, received, HEAD_READ_BYTES).await?;
     }
@@ -434,16 +462,27 @@
     reader: &mut ReadHalf<'_>,
     codec: &mut ClientCodec,
     received: &mut BytesMut,
+    budget: &mut FramingBudget,
 ) -> Result<(), ExchangeError> {
     if codec.message_type() == MessageType::None {
         return Ok(());
     }
+    let mut discarded = 0;
     let message = std::mem::take(codec);
     let mut payload = message.into_payload_codec();
     loop {
+        let available = received.len();
         let decoded = payload.decode(received);
         let decoded =
             decoded.map_err(|error| ExchangeError::Broken(error.to_string()))?;
+        let part = decoded.as_ref().and_then(Option::as_ref);
+        let content = part.map_or(0, Bytes::len);
+        budget.record(available - received.len() - content, 0)?;
+        discarded += content;
+        if discarded > DISCARDED_BYTES_MAX {
+            let problem = "a response to another request is too long";
+            return Err(ExchangeError::Broken(problem.to_owned()));
+        }
         match decoded {
             Some(None) => break,
             Some(Some(_)) => {}
--- a/crates/node/tests/hop.rs
+++ b/crates/node/tests/hop.rs
@@ -1,6 +1,7 @@
 //! Requests to the next hop: which response belongs to which request, and when
 //! a connection may be reused.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +15,7 @@
 use actix_http::Uri;
 use actix_rt::System;
 use bytes::Bytes;
+use bytes::BytesMut;
 use proptest::prelude::*;
 use socket2::Domain;
 use socket2::Socket;
@@ -442,3 +444,86 @@
         });
     }
 }
+
+/// Starts a server that answers a request with `start` and then `repeated` without end;
+/// returns its address and how many bytes it has sent.
+async fn spawn_endless(start: String, repeated: &str) -> (SocketAddr, Rc<Cell<usize>>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let socket = TcpListener::bind(any).await.expect("a free port");
+    let address = socket.local_addr().expect("its address");
+    let sent = Rc::new(Cell::new(0));
+    let counter = Rc::clone(&sent);
+    let block = repeated.repeat(1 + 4_096 / repeated.len());
+    actix_rt::spawn(async move {
+        let (mut stream, _) = socket.accept().await.expect("a connection");
+        let mut head = BytesMut::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_buf(&mut head).await.expect("a request");
+        }
+        let mut next = start;
+        while stream.write_all(next.as_bytes()).await.is_ok() {
+            counter.set(counter.get() + next.len());
+            next.clone_from(&block);
+        }
+    });
+    (address, sent)
+}
+
+/// Most bytes that a server sends before it is left: what is read without content, and
+/// what the buffers of both sockets take.
+const SENT_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+// Guards against a call that holds a processor for as long as its caller waits, because
+// a server in trouble sends bytes without end that are valid and carry no answer.
+#[test]
+fn bytes_without_content_end_an_exchange_soon() {
+    let whole = "HTTP/1.1 200 OK\r\ncowslip-request-id: 1\r\n";
+    let chunked = format!("{whole}transfer-encoding: chunked\r\n\r\n");
+    let foreign = "HTTP/1.1 200 OK\r\ncowslip-request-id: 0\r\n";
+    let cases = [
+        ("interim", String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ("extension", format!("{chunked}1;"), "name=value;"),
+        ("zeros", chunked.clone(), "0"),
+        ("trailers", format!("{chunked}0\r\n"), "name: value\r\n"),
+        (
+            "late",
+            String::new(),
+            "HTTP/1.1 200 OK\r\ncowslip-request-id: 0\r\ncontent-length: 2\r\n\r\nno",
+        ),
+        (
+            "late-body",
+            format!("{foreign}transfer-encoding: chunked\r\n\r\n"),
+            "5\r\nhello\r\n",
+        ),
+    ];
+    for (case, start, repeated) in cases {
+        System::new().block_on(async {
+            let (address, sent) = spawn_endless(start, repeated).await;
+            let pools = CallPools::new();
+            let started = Instant::now();
+            let ended = match send(&pools, address, "1").await {
+                Ok(mut response) => response.body.buffer(1_000).await.is_err(),
+                Err(_) => true,
+            };
+            assert!(ended, "{case}: it has no end");
+            let took = started.elapsed();
+            assert!(took < TRY_TIMEOUT / 5, "{case}: ended after {took:?}");
+            assert!(sent.get() < SENT_BYTES_MAX, "{case}: {} bytes", sent.get());
+        });
+    }
+}
+
+// Guards against a sound body that is taken for bytes without content: one byte a chunk.
+#[test]
+fn a_body_in_small_chunks_is_read_to_its_end() {
+    System::new().block_on(async {
+        let mut answer = "HTTP/1.1 200 OK\r\ncowslip-request-id: 1\r\n".to_owned();
+        answer += "transfer-encoding: chunked\r\n\r\n";
+        answer += &"1\r\nx\r\n".repeat(100_000);
+        answer += "0\r\n\r\n";
+        let server = ScriptedServer::spawn(vec![(answer, false)]).await;
+        let pools = CallPools::new();
+        let response = send(&pools, server.address, "1").await;
+        assert_eq!(read_all(response).await.len(), 100_000);
+    });
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod crash_messages;
 pub mod evidence_messages;
 pub mod follow_messages;
+pub mod framing_budget;
 pub mod http_client;
 pub mod http_listener;
 pub mod http_reply;
--- a/crates/wire/src/pipelined_connection/pipelined_exchange.rs
+++ b/crates/wire/src/pipelined_connection/pipelined_exchange.rs
@@ -32,6 +32,7 @@
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 
+use crate::framing_budget::FramingBudget;
 use crate::http_listener::CountedBody;
 use crate::http_listener::CountedHandler;
 use crate::http_reply;
@@ -295,6 +296,7 @@
 pub(super) struct BodyDecoder {
     codec: SharedCodec,
     chunks: mpsc::Sender<BodyChunk>,
+    budget: FramingBudget,
 }
 
 impl BodyDecoder {
@@ -312,7 +314,11 @@
         });
         let stream: BoxedPayloadStream = Box::pin(stream);
         *request.payload() = Payload::from(stream);
-        Self { codec, chunks }
+        Self {
+            codec,
+            chunks,
+            budget: FramingBudget::default(),
+        }
     }
 
     /// Decodes body chunks from the input while the handler's queue has capacity.
@@ -321,19 +327,26 @@
             if !self.has_capacity() {
                 return DecodeStep::Wait;
             }
+            let available = input.len();
             let decoded = self.codec.borrow_mut().decode(input);
+            let content = match &decoded {
+                Ok(Some(Message::Chunk(Some(chunk)))) => chunk.len(),
+                _ => 0,
+            };
+            let taken = available - input.len();
+            let within_budget = self.budget.record(taken, content).is_ok();
             // Sending fails if the handler has answered without reading the
             // rest of the body, which is then discarded.
-            match decoded {
-                Ok(Some(Message::Chunk(Some(chunk)))) => {
+            match decoded.ok().filter(|_| within_budget) {
+                Some(Some(Message::Chunk(Some(chunk)))) => {
                     let _ = self.chunks.try_send(Some(Ok(chunk)));
                 }
-                Ok(Some(Message::Chunk(None))) => {
+                Some(Some(Message::Chunk(None))) => {
                     let _ = self.chunks.try_send(None);
                     return DecodeStep::End;
                 }
-                Ok(None) => return DecodeStep::Wait,
-                Ok(Some(Message::Item(_))) | Err(_) => {
+                Some(None) => return DecodeStep::Wait,
+                Some(Some(Message::Item(_))) | None => {
                     let error = PayloadError::EncodingCorrupted;
                     let _ = self.chunks.try_send(Some(Err(error)));
                     return DecodeStep::Malformed;
--- a/crates/wire/tests/pipelined_connection.rs
+++ b/crates/wire/tests/pipelined_connection.rs
@@ -467,3 +467,31 @@
         assert!(polls.get() < 10, "polled {} times", polls.get());
     });
 }
+
+// Guards against a request that holds a processor for as long as its sender wants: a
+// chunk extension, the zeros of a chunk's size or trailers without end.
+#[test]
+fn a_request_body_without_content_ends_soon() {
+    for (case, start, repeated) in [
+        ("extension", "1;", "name=value;"),
+        ("zeros", "", "0"),
+        ("trailers", "0\r\n", "name: value\r\n"),
+    ] {
+        System::new().block_on(async {
+            let listener = listener(DelayedHandler::default(), default_timeouts());
+            let mut stream = TcpStream::connect(listener.address()).await.unwrap();
+            let head = "POST /sale HTTP/1.1\r\nhost: a.example\r\ntransfer-encoding: chunked\r\n\r\n";
+            let block = repeated.repeat(1 + 4_096 / repeated.len());
+            let started = Instant::now();
+            let mut next = format!("{head}{start}");
+            let mut sent = 0;
+            while stream.write_all(next.as_bytes()).await.is_ok() {
+                sent += next.len();
+                next.clone_from(&block);
+                let took = started.elapsed();
+                assert!(took < Duration::from_secs(2), "{case}: read for {took:?}");
+                assert!(sent < 32 * 1024 * 1024, "{case}: {sent} bytes are read");
+            }
+        });
+    }
+}
