Requests and answers with many headers reach the next node

Cause: the HTTP library takes 96 headers, and nodes add up to twelve between themselves. A request of which even that would be too much is refused at its entry: too-many-headers, 431, not run.

--- a/crates/cli/tests/calls/broken_server.rs
+++ b/crates/cli/tests/calls/broken_server.rs
@@ -25,6 +25,8 @@
     SilentLater,
     /// Answers without `connection: close` and then closes its sending half.
     HalfClose,
+    /// Answers with as many headers besides the length of the body.
+    ManyHeaders(usize),
 }
 
 /// A running broken server.
@@ -77,6 +79,12 @@
             let _ = stream.write_all(COMPLETE_RESPONSE).await;
             std::future::pending().await
         }
+        ServerFault::ManyHeaders(count) => {
+            let headers = "x-more: of them\r\n".repeat(count);
+            let answer =
+                format!("HTTP/1.1 200 OK\r\n{headers}content-length: 5\r\n\r\nwhole");
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
         ServerFault::HalfClose => {
             let _ = stream.write_all(COMPLETE_RESPONSE).await;
             let _ = stream.shutdown().await;
--- a/crates/cli/tests/calls/main.rs
+++ b/crates/cli/tests/calls/main.rs
@@ -8,5 +8,6 @@
 mod faults;
 mod fleet_calls;
 mod malformed;
+mod many_headers;
 mod planned_stop;
 mod stated_limits;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -86,6 +86,8 @@
         BodyTruncated => "body-truncated",
         /// A cowslipwall header is malformed.
         BadHeader => "bad-header",
+        /// The request has more headers than nodes can pass on.
+        TooManyHeaders => "too-many-headers",
         /// The node is stopping.
         Stopping => "stopping",
         /// No majority of the holders of the idempotency key could be reached.
@@ -169,6 +171,7 @@
             Self::InternalOnly => 403,
             Self::BodyTooLarge => 413,
             Self::BadHeader | Self::BodyTruncated => 400,
+            Self::TooManyHeaders => 431,
             Self::CustomerLimit => 429,
             Self::ClaimUnanswered | Self::AnswerNotKept => 409,
             Self::KeyReused => 422,
--- a/crates/node/src/call_headers.rs
+++ b/crates/node/src/call_headers.rs
@@ -84,11 +84,12 @@
 
 /// Headers that each hop sets itself, so that the values of a caller or a
 /// backend server are never forwarded.
-const REWRITTEN: [&str; 22] = [
+const REWRITTEN: [&str; 23] = [
     "host",
     "content-length",
     "expect",
     "cowslip-key",
+    "cowslip-packed",
     DEADLINE_MS,
     VERDICT,
     REASON,
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -59,6 +59,7 @@
 use crate::hop::HopResponse;
 use crate::keyed_call;
 use crate::node_stage::NodeStage;
+use crate::packed_headers;
 use crate::quarantine_list::QuarantineList;
 use crate::refusal_reply::refusal_reply;
 
@@ -205,6 +206,9 @@
             },
         };
         let parts = CallParts::of(&request, &self.dialect);
+        if !packed_headers::fits_packed(&parts.headers) {
+            return Err(not_run(RefusalReason::TooManyHeaders));
+        }
         let mut body = CallBody::take(&mut request).await.map_err(not_run)?;
         let path = request.path();
         let call =
@@ -411,10 +415,9 @@
         parts: &CallParts,
         body: &mut CallBody,
     ) -> Result<HopResponse, TryFailure> {
-        let request = parts.hop_request(
-            &self.dialect,
-            self.peer_headers(planned, body.is_buffered()),
-        );
+        let added = self.peer_headers(planned, body.is_buffered());
+        let added = packed_headers::pack(&parts.headers, added);
+        let request = parts.hop_request(&self.dialect, added);
         let address = planned.server.address;
         let give_up_at = BootInstant::now() + planned.left;
         let sending = self.pools.send(address, &request, body, planned.left);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod node_daemon;
 pub mod node_settings;
 pub mod node_stage;
+mod packed_headers;
 pub mod peer_handler;
 pub mod quarantine_list;
 pub mod refusal_reply;
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -54,9 +54,13 @@
 use crate::holder_task::HolderMessage;
 use crate::hop::HopResponse;
 use crate::hop::SendObserver;
+use crate::packed_headers;
 use crate::quarantine_list::QuarantineList;
 use crate::refusal_reply::refusal_reply;
 
+/// Headers that say how busy the server is.
+const LOAD_HEADERS: usize = 2;
+
 /// Bytes read of a backend server's refusal, so that its connection can be
 /// reused. A refusal is a line of text.
 const REFUSAL_BYTES_MAX: usize = 4 * 1024;
@@ -114,7 +118,8 @@
 }
 
 impl PeerProxy {
-    async fn serve(&self, request: Request) -> HttpReply {
+    async fn serve(&self, mut request: Request) -> HttpReply {
+        packed_headers::unpack(request.headers_mut());
         if is_claim(&request) {
             return self
                 .handle_claim(request)
@@ -143,6 +148,9 @@
                 refusal_reply(refusal, &self.dialect, None)
             }
         };
+        if !packed_headers::fits(reply.headers().len() + LOAD_HEADERS) {
+            return reply;
+        }
         let wait_ms = self.gate_status.expected_wait().as_millis().to_string();
         http_reply::set_header(&mut reply, call_headers::WAIT_MS, &wait_ms);
         if let Some(work) = route.and_then(|route| self.gate_status.service_time(&route))
