--- a/crates/control/src/member_store.rs
+++ b/crates/control/src/member_store.rs
@@ -129,6 +129,9 @@
     pub fn open(path: &Path, instance: &str) -> Result<OpenedFolder, StoreError> {
         fs::create_dir_all(path)?;
         let lock = lock_folder(path)?;
+        for name in [IDENTITY_FILE, LOG_FILE, SNAPSHOT_FILE] {
+            atomic_file::remove_unfinished(path, name)?;
+        }
         let identity = match identity_file::read(path)? {
             Some(identity) => identity,
             None => create(path, instance)?,
--- a/crates/control/src/member_store/atomic_file.rs
+++ b/crates/control/src/member_store/atomic_file.rs
@@ -7,6 +7,7 @@
 use std::io::Seek;
 use std::io::SeekFrom;
 use std::path::Path;
+use std::path::PathBuf;
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -24,7 +25,7 @@
     name: &str,
     value: &T,
 ) -> Result<File, StoreError> {
-    let new = folder.join(format!("{name}.new"));
+    let new = unfinished(folder, name);
     let file = File::options()
         .read(true)
         .write(true)
@@ -40,6 +41,18 @@
     Ok(file)
 }
 
+/// Removes what a crash or a full disk has left of a replacement of the file.
+pub fn remove_unfinished(folder: &Path, name: &str) -> io::Result<()> {
+    match fs::remove_file(unfinished(folder, name)) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
+fn unfinished(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.new"))
+}
+
 /// Reads the file; `None` if it does not exist.
 pub fn read<T: DeserializeOwned>(
     folder: &Path,
--- a/crates/control/tests/member_store.rs
+++ b/crates/control/tests/member_store.rs
@@ -275,3 +275,19 @@
     let refused = open(folder.path()).expect_err("it is barred");
     assert!(matches!(refused, StoreError::RolledBack));
 }
+
+// Guards against a disk that stays full: a snapshot that did not fit is left behind, and
+// takes the space that the log needs.
+#[test]
+fn what_is_left_of_an_unfinished_snapshot_is_removed() {
+    let folder = tempdir().expect("a folder");
+    write_batches(folder.path(), vec![entries(1..=3)]);
+    let names = ["snapshot.new", "log.new", "identity.new"];
+    for name in names {
+        fs::write(folder.path().join(name), [7; 500]).expect("a file");
+    }
+    assert_eq!(open(folder.path()).expect("it opens").entries.len(), 3);
+    for name in names {
+        assert!(!folder.path().join(name).exists(), "{name} is left");
+    }
+}
