A member that is away is not sent entries that the log has given up

What callers saw: nothing yet; a leader grew from 83 to 211 MB within 30 changes of 4 MB while one member was down (state_bound with 12,000 routes). Cause: what is under way to a member was summed over the entries that the log still has. Change: entries sent before the log's first one still count; nothing more is sent until the member says what it holds. Evidence: a_member_that_is_away_is_sent_few_heavy_changes fails before: 85,507,394 bytes were sent to it. Result: it passes, and the member catches up when it is back.

--- a/crates/core/src/agreement/leadership.rs
+++ b/crates/core/src/agreement/leadership.rs
@@ -104,7 +104,10 @@
             return false;
         }
         let first = self.sent_from.max(self.matched + 1);
-        self.next.saturating_sub(first) < WINDOW_ENTRIES
+        // Entries that the log has given up since they were sent still count as in
+        // flight: the member is far behind or does not answer.
+        first >= log.first_index()
+            && self.next.saturating_sub(first) < WINDOW_ENTRIES
             && log.bytes_between(first, self.next) < WINDOW_BYTES
     }
 }
--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -82,6 +82,8 @@
     next_ticket: u64,
     /// Members read entries of their disks instead of holding all in memory.
     pub reads_entries: bool,
+    /// Encoded size in bytes of the messages with entries, by receiver.
+    pub sent_bytes: BTreeMap<SocketAddr, usize>,
     /// Encoded size in bytes of the largest message with entries.
     pub largest_message: usize,
     /// Messages take up to 20 ms and syncs up to 3 ms, as on small healthy
@@ -181,6 +183,7 @@
             member_answers: Vec::new(),
             next_ticket: 0,
             reads_entries: false,
+            sent_bytes: BTreeMap::new(),
             largest_message: 0,
             low_latency: false,
         };
@@ -361,7 +364,7 @@
                 self.instances[at].unsynced.push((due, batch));
             }
             ReplicaAction::Send(to, message) => {
-                self.measure(&message);
+                self.measure(to, &message);
                 for _ in 0..self.random.random_range(1..=2) {
                     let longest = if self.low_latency { 20 } else { 50 };
                     let delay = self.random.random_range(0..longest);
@@ -386,12 +389,13 @@
         }
     }
 
-    fn measure(&mut self, message: &MemberMessage) {
+    fn measure(&mut self, to: SocketAddr, message: &MemberMessage) {
         let MessageBody::Append { entries, .. } = &message.body else {
             return;
         };
         if !entries.is_empty() {
             let bytes = encoded_size::of(message);
+            *self.sent_bytes.entry(to).or_default() += bytes;
             self.largest_message = self.largest_message.max(bytes);
         }
     }
--- a/crates/core/tests/agreement/heavy_changes.rs
+++ b/crates/core/tests/agreement/heavy_changes.rs
@@ -19,6 +19,7 @@
 use cowslip_core::version::ConfigVersion;
 
 use crate::failures::others;
+use crate::fleet::address;
 use crate::fleet::Fleet;
 
 /// Largest message that an instance accepts, in bytes.
@@ -85,6 +86,28 @@
     );
 }
 
+// Guards against a leader whose memory fills with messages to a member that is away: each
+// snapshot gave up entries that were under way to it, and more were sent.
+#[test]
+fn a_member_that_is_away_is_sent_few_heavy_changes() {
+    // A snapshot is taken after each of them.
+    const BYTES: usize = 4_500_000;
+    let mut fleet = Fleet::new(3, 0, 26);
+    commit_revisions(&mut fleet, 0, 1, BYTES);
+    let leader = fleet.wait_for_leader();
+    let away = others(&fleet, leader)[0];
+    fleet.crash(away);
+    fleet.sent_bytes.clear();
+    commit_revisions(&mut fleet, 1, 20, BYTES);
+    let sent = fleet.sent_bytes.get(&address(away)).copied();
+    let sent = sent.unwrap_or_default();
+    assert!(sent < 5 * BYTES, "{sent} bytes were sent to it");
+    fleet.start(away);
+    fleet.run(Duration::from_secs(3));
+    assert_eq!(fleet.state(away).revision(), 20);
+    fleet.check_convergence(3);
+}
+
 /// Largest log of an instance whose state is small, in bytes: what is kept of it when a
 /// snapshot is taken, what is added before the next one, and what may wait to be
 /// committed.
