Messages that wait for another control instance are bounded in bytes

Change: a queue takes no more from 4 MB on; the agreement sends again what is missing. The benchmark starts a killed follower again before another one joins.

--- a/crates/control/benches/state_bound.rs
+++ b/crates/control/benches/state_bound.rs
@@ -162,6 +162,8 @@
             print_line(&mut fleet, &client, number, &mut waits, &mut written).await;
         }
     }
+    fleet.start(missing);
+    actix_rt::time::sleep(SETTLE_TIME).await;
     let joined = join(&mut fleet, &client).await;
     actix_rt::time::sleep(SETTLE_TIME).await;
     let peak = peak_kilobytes(fleet.children[joined].as_ref());
--- a/crates/control/src/peer_sender.rs
+++ b/crates/control/src/peer_sender.rs
@@ -8,6 +8,7 @@
 //! agreement sends again what is missing. Snapshots have a separate queue, since
 //! heartbeats behind a snapshot would arrive seconds late.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +31,10 @@
 /// in a second.
 const QUEUE_CAPACITY: usize = 256;
 
+/// Size of the messages in one queue, in bytes, from which on no more are taken. More
+/// than the agreement has under way to one instance at a time.
+const QUEUE_BYTES_MAX: usize = MESSAGE_BYTES_MAX / 4;
+
 /// Maximum number of messages in one POST request.
 const POST_MESSAGES_MAX: usize = 8;
 
@@ -68,9 +73,14 @@
     sent: u64,
 }
 
+/// A message and its encoded size in bytes.
+type SizedMessage = (MemberMessage, usize);
+
 /// The queue to one instance.
 struct PeerQueue {
-    messages: mpsc::Sender<MemberMessage>,
+    messages: mpsc::Sender<SizedMessage>,
+    /// Sum of the sizes of the queued messages.
+    queued_bytes: Rc<Cell<usize>>,
     /// Number of the last message queued.
     last_sent: u64,
 }
@@ -92,13 +102,14 @@
         if !self.queues.contains_key(&key) && self.queues.len() >= QUEUES_MAX {
             self.close_oldest();
         }
-        let queue = self.queues.entry(key).or_insert_with(|| PeerQueue {
-            messages: spawn_queue(self.client.clone(), address, snapshot),
-            last_sent: 0,
-        });
+        let client = &self.client;
+        let queue = self
+            .queues
+            .entry(key)
+            .or_insert_with(|| PeerQueue::spawn(client.clone(), address, snapshot));
         self.sent += 1;
         queue.last_sent = self.sent;
-        let _ = queue.messages.try_send(message);
+        queue.push(message);
     }
 
     /// Closes the queue that was not used for the longest time. What waits in it is
@@ -112,51 +123,78 @@
     }
 }
 
-fn spawn_queue(
-    client: PeerClient,
-    address: SocketAddr,
-    snapshot: bool,
-) -> mpsc::Sender<MemberMessage> {
-    let (queue, mut messages) = mpsc::channel(QUEUE_CAPACITY);
-    let timeout = if snapshot {
-        SNAPSHOT_TIMEOUT
-    } else {
-        POST_TIMEOUT
-    };
-    actix_rt::spawn(async move {
-        let mut next = messages.recv().await;
-        while let Some(first) = next.take() {
-            let (gathered, left_over) = gather(first, &mut messages);
-            let call = AgreeCall { messages: gathered };
-            post_messages(&client, address, call, timeout).await;
-            next = match left_over {
-                Some(message) => Some(message),
-                None => messages.recv().await,
-            };
+impl PeerQueue {
+    fn spawn(client: PeerClient, address: SocketAddr, snapshot: bool) -> Self {
+        let (messages, receiver) = mpsc::channel(QUEUE_CAPACITY);
+        let queued_bytes = Rc::new(Cell::new(0));
+        let mut source = QueuedMessages {
+            messages: receiver,
+            queued_bytes: Rc::clone(&queued_bytes),
+            left_over: None,
+        };
+        let timeout = if snapshot {
+            SNAPSHOT_TIMEOUT
+        } else {
+            POST_TIMEOUT
+        };
+        actix_rt::spawn(async move {
+            while let Some(messages) = source.gather().await {
+                let call = AgreeCall { messages };
+                post_messages(&client, address, call, timeout).await;
+            }
+        });
+        Self {
+            messages,
+            queued_bytes,
+            last_sent: 0,
+        }
+    }
+
+    /// Queues a message, or drops it if the queue is full.
+    fn push(&self, message: MemberMessage) {
+        let queued = self.queued_bytes.get();
+        if queued >= QUEUE_BYTES_MAX {
+            return;
         }
-    });
-    queue
+        let bytes = encoded_size::of(&message);
+        if self.messages.try_send((message, bytes)).is_ok() {
+            self.queued_bytes.set(queued + bytes);
+        }
+    }
 }
 
-/// Takes the messages that are sent with `first`, and the next one if it was taken but
-/// is too large to be sent with them.
-fn gather(
-    first: MemberMessage,
-    messages: &mut mpsc::Receiver<MemberMessage>,
-) -> (Vec<MemberMessage>, Option<MemberMessage>) {
-    let mut bytes = encoded_size::of(&first);
-    let mut gathered = vec![first];
-    while gathered.len() < POST_MESSAGES_MAX {
-        let Ok(message) = messages.try_recv() else {
-            break;
+/// The receiving end of a queue.
+struct QueuedMessages {
+    messages: mpsc::Receiver<SizedMessage>,
+    queued_bytes: Rc<Cell<usize>>,
+    /// Message that was taken and is too large to be sent with those before it.
+    left_over: Option<SizedMessage>,
+}
+
+impl QueuedMessages {
+    /// Waits for a message, and takes those that are sent with it; `None` once the
+    /// queue is closed and empty.
+    async fn gather(&mut self) -> Option<Vec<MemberMessage>> {
+        let first = match self.left_over.take() {
+            Some(first) => first,
+            None => self.messages.recv().await?,
         };
-        bytes += encoded_size::of(&message);
-        if bytes > POST_BYTES_MAX {
-            return (gathered, Some(message));
+        let mut bytes = first.1;
+        let mut gathered = vec![first.0];
+        while gathered.len() < POST_MESSAGES_MAX {
+            let Ok(next) = self.messages.try_recv() else {
+                break;
+            };
+            if bytes + next.1 > POST_BYTES_MAX {
+                self.left_over = Some(next);
+                break;
+            }
+            bytes += next.1;
+            gathered.push(next.0);
         }
-        gathered.push(message);
+        self.queued_bytes.set(self.queued_bytes.get() - bytes);
+        Some(gathered)
     }
-    (gathered, None)
 }
 
 /// Sends messages within `timeout`. If no connection can be made, nothing was
