The reset of a connection ends no body, even if sending found it first

Callers got a part of a body as a whole answer: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the node was still sending the upload.

Cause: the kernel reports the reset of a connection once. The node's send of the upload took the error and was ignored, since an answer may have arrived before; the next read then found a plain close, which ends a body without a length.

Evidence, on the code before: a_reset_during_an_upload_does_not_end_a_body got 200 and "a part of the body" in its first attempt; the same through two nodes (broken_answers::a_reset_during_an_upload_is_a_failed_call): "12 / a part of the body / 0" with a last chunk.

Change: the connection remembers that a send failed. A body that only the close could end is then incomplete; one with a length or chunks still shows its own end. The failed send is logged as send-failed, and the connection is not used again.

Result: both tests pass. Tests that held before: answers that end early by a close, HEAD.

--- a/crates/cli/tests/calls/broken_server.rs
+++ b/crates/cli/tests/calls/broken_server.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -27,6 +28,8 @@
     HalfClose,
     /// Answers with as many headers besides the length of the body.
     ManyHeaders(usize),
+    /// Sends these bytes and resets the connection.
+    AnswerThenReset(&'static str),
 }
 
 /// A running broken server.
@@ -85,6 +88,11 @@
                 format!("HTTP/1.1 200 OK\r\n{headers}content-length: 5\r\n\r\nwhole");
             let _ = stream.write_all(answer.as_bytes()).await;
         }
+        ServerFault::AnswerThenReset(answer) => {
+            let _ = stream.write_all(answer.as_bytes()).await;
+            let socket = SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("it is set");
+        }
         ServerFault::HalfClose => {
             let _ = stream.write_all(COMPLETE_RESPONSE).await;
             let _ = stream.shutdown().await;
--- a/crates/cli/tests/calls/main.rs
+++ b/crates/cli/tests/calls/main.rs
@@ -2,6 +2,7 @@
 //! fail or stop.
 
 mod at_most_once;
+mod broken_answers;
 mod broken_server;
 mod crashing_request;
 mod crashing_server;
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -95,6 +95,8 @@
     received: BytesMut,
     /// Budget of the body that is being read.
     budget: FramingBudget,
+    /// Sending the request failed.
+    send_failed: bool,
     reusable: bool,
     expires_at: BootInstant,
 }
@@ -128,6 +130,7 @@
             read_state: ReadState::Idle(codec),
             received: BytesMut::new(),
             budget: FramingBudget::default(),
+            send_failed: false,
             reusable: false,
             expires_at: BootInstant::now() + IDLE_TIMEOUT,
         })
@@ -187,8 +190,19 @@
                         // Guards against losing a refusal because sending a
                         // long body failed midway: the other side may have
                         // sent its response before it reset the connection.
-                        if let Err(ExchangeError::BodyBroken) = done {
-                            return Err(ExchangeError::BodyBroken);
+                        match done {
+                            Ok(()) => {}
+                            Err(ExchangeError::BodyBroken) => {
+                                return Err(ExchangeError::BodyBroken);
+                            }
+                            Err(error) => {
+                                info!(
+                                    "event=send-failed process=node to={} error={}",
+                                    self.address,
+                                    LogValue(error)
+                                );
+                                self.send_failed = true;
+                            }
                         }
                         sent = true;
                     }
@@ -200,7 +214,10 @@
         let head = answer.head;
         // Guards against a server that responds before it has read the whole
         // body: it would read the next request as the rest of that body.
-        self.reusable = sent && codec.keep_alive() && !answer.follows_unidentified;
+        self.reusable = sent
+            && !self.send_failed
+            && codec.keep_alive()
+            && !answer.follows_unidentified;
         self.update_expiry(&head.headers);
         self.read_state = match codec.message_type() {
             MessageType::None if is_close_delimited(&head, request) => {
@@ -251,8 +268,11 @@
                 continue;
             }
             // Guards against a truncated response that looks complete: a
-            // close ends only a body without a stated length.
-            let complete = matches!(self.read_state, ReadState::UntilClose);
+            // close ends only a body without a stated length. The kernel reports
+            // the reset of a connection once; after a send that failed with it, a
+            // read finds a plain close.
+            let until_close = matches!(self.read_state, ReadState::UntilClose);
+            let complete = until_close && !self.send_failed;
             self.read_state = ReadState::Unusable;
             if complete {
                 return Ok(None);
