An answer whose head is not valid HTTP is its server's failure

Callers got answers whose head was spoilt as complete ones: with another status or field than the server's, or with a body that was not its own.

Cause: the HTTP library's parser accepts more than the grammar of RFC 9112, and nothing looked at the head behind it. Taken for answers on the code before, each with the connection closed and with it reset (an_answer_with_a_spoilt_head_is_a_failure): status 600 and 999; an empty line before the status line; a blank or a tab between a name and its colon; a bare line feed; "transfer-encoding: identity" (an empty body, whatever followed); a length beside a transfer coding (the stated length on the way out, the chunks' content on the way in); a 204 with a body. Through two nodes, the first of these in an_answer_with_a_spoilt_head_is_a_failed_call, status 999, reached the caller as it was; the test ends with its first failure.

Held before, the tests stay: status 000 and 099, statuses of two or four digits, lines without a colon, blanks and control bytes within names, folded lines, control bytes in values and reasons, and every length or coding that is no number, too large, signed, empty, repeated or unknown.

Change: `response_head` checks each head, on the way from a server to its node and from node to node, before the library decodes it, and says how its body ends. Which body ends with the connection is decided there, too, so that an HTTP/1.0 answer without a length is served; it ended as connection-broken before.

Endless bytes without the end of a head are left as early as other bytes without content (held before; two cases added).

--- a/crates/cli/tests/calls/broken_answers.rs
+++ b/crates/cli/tests/calls/broken_answers.rs
@@ -88,3 +88,29 @@
         }
     });
 }
+
+// Guards against a caller that gets an answer whose head is not valid HTTP, with another
+// status, field or body than its server's.
+#[test]
+fn an_answer_with_a_spoilt_head_is_a_failed_call() {
+    System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let fleet = fleet(folder.path()).await;
+        for answer in [
+            "HTTP/1.1 000 OK\r\ncontent-length: 3\r\n\r\nown",
+            "HTTP/1.1 999 OK\r\ncontent-length: 3\r\n\r\nown",
+            "HTTP/1.1 200 OK\r\ncontent-length : 3\r\n\r\nown",
+            "HTTP/1.1 200 OK\r\ncontent length: 3\r\n\r\nown",
+            "HTTP/1.1 200 OK\r\ncontent\x01length: 3\r\n\r\nown",
+            "HTTP/1.1 200 OK\r\ncontent-length 3\r\n\r\nown",
+            "HTTP/1.1 200 OK\r\nx-note: a\ncontent-length: 3\r\n\r\nown",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nown",
+        ] {
+            let fault = ServerFault::AnswerThenClose(answer);
+            let server = BrokenServer::spawn(fault).await;
+            announce(&fleet.nodes[0].node, server.address, 10).await;
+            let got = send_until_received(&fleet, &server, 0).await;
+            assert!(got.starts_with("HTTP/1.1 502"), "{answer:?}: {got}");
+        }
+    });
+}
--- a/crates/cli/tests/calls/broken_server.rs
+++ b/crates/cli/tests/calls/broken_server.rs
@@ -28,6 +28,8 @@
     HalfClose,
     /// Answers with as many headers besides the length of the body.
     ManyHeaders(usize),
+    /// Sends these bytes and closes the connection.
+    AnswerThenClose(&'static str),
     /// Sends these bytes and resets the connection.
     AnswerThenReset(&'static str),
 }
@@ -88,6 +90,9 @@
                 format!("HTTP/1.1 200 OK\r\n{headers}content-length: 5\r\n\r\nwhole");
             let _ = stream.write_all(answer.as_bytes()).await;
         }
+        ServerFault::AnswerThenClose(answer) => {
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
         ServerFault::AnswerThenReset(answer) => {
             let _ = stream.write_all(answer.as_bytes()).await;
             let socket = SockRef::from(&stream);
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -12,12 +12,9 @@
 use actix_http::h1::MessageType;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
-use actix_http::header::CONTENT_LENGTH;
-use actix_http::header::TRANSFER_ENCODING;
 use actix_http::Method;
 use actix_http::RequestHeadType;
 use actix_http::ResponseHead;
-use actix_http::StatusCode;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -35,6 +32,10 @@
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::framing_budget::FramingBudget;
 use cowslip_wire::process_log::LogValue;
+use cowslip_wire::response_head::check_head;
+use cowslip_wire::response_head::head_length;
+use cowslip_wire::response_head::BodyFraming;
+use cowslip_wire::response_head::ResponseFault;
 use cowslip_wire::socket_read::read_ready;
 use cowslip_wire::socket_read::BODY_READ_BYTES;
 use cowslip_wire::socket_read::HEAD_READ_BYTES;
@@ -80,6 +81,12 @@
     BodyBroken,
 }
 
+impl From<ResponseFault> for ExchangeError {
+    fn from(fault: ResponseFault) -> Self {
+        Self::Broken(fault.to_string())
+    }
+}
+
 impl From<io::Error> for ExchangeError {
     fn from(error: io::Error) -> Self {
         Self::Broken(error.to_string())
@@ -220,9 +227,7 @@
             && !answer.follows_unidentified;
         self.update_expiry(&head.headers);
         self.read_state = match codec.message_type() {
-            MessageType::None if is_close_delimited(&head, request) => {
-                ReadState::UntilClose
-            }
+            _ if answer.framing == BodyFraming::UntilClose => ReadState::UntilClose,
             MessageType::None => ReadState::Idle(codec),
             MessageType::Payload | MessageType::Stream => {
                 ReadState::Framed(codec.into_payload_codec())
@@ -311,15 +316,6 @@
     Ok(decoded)
 }
 
-/// Returns true for a response whose body has no stated length and ends when the
-/// connection closes, whatever the codec reports for it.
-fn is_close_delimited(head: &ResponseHead, request: &HopRequest) -> bool {
-    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
-    let framed = head.headers.contains_key(CONTENT_LENGTH)
-        || head.headers.contains_key(TRANSFER_ENCODING);
-    !framed && request.method != Method::HEAD && !bodiless.contains(&head.status)
-}
-
 /// Guards against a connection whose state was lost on the path, for example in
 /// a firewall: nothing comes back, not even a reset, and every call on it would
 /// wait for its deadline. The kernel closes it within
@@ -389,6 +385,7 @@
 /// The head of the response to a request.
 struct MatchingHead {
     head: ResponseHead,
+    framing: BodyFraming,
     /// True if responses without a request ID were dropped before it. A server
     /// that sends them may send more.
     follows_unidentified: bool,
@@ -409,20 +406,21 @@
     let mut follows_unidentified = false;
     let mut budget = FramingBudget::default();
     loop {
-        let (head, head_bytes) = read_head(reader, codec, received).await?;
+        let answer = read_head(reader, codec, received, &request.method).await?;
+        let AnswerHead {
+            head,
+            framing,
+            length,
+        } = answer;
         if request.is_answered_by(&head) && !head.status.is_informational() {
             return Ok(MatchingHead {
                 head,
+                framing,
                 follows_unidentified,
             });
         }
-        budget.record(head_bytes, 0)?;
+        budget.record(length, 0)?;
         if head.status.is_informational() {
-            // The codec must not decode a head where a body is due.
-            if codec.message_type() != MessageType::None {
-                let problem = "an interim response has a body";
-                return Err(ExchangeError::Broken(problem.to_owned()));
-            }
             continue;
         }
         let echoed = request.echoed_id(&head);
@@ -433,7 +431,7 @@
             logged_id(echoed),
             logged_id(request.id())
         );
-        if is_close_delimited(&head, request) {
+        if framing == BodyFraming::UntilClose {
             let problem = "a response to another request ends only with the connection";
             return Err(ExchangeError::Broken(problem.to_owned()));
         }
@@ -448,21 +446,39 @@
     LogValue(String::from_utf8_lossy(id).into_owned())
 }
 
-/// Reads a response head; returns it and its length in bytes.
+/// A response head as it was received.
+struct AnswerHead {
+    head: ResponseHead,
+    framing: BodyFraming,
+    /// Length in bytes.
+    length: usize,
+}
+
+/// Reads the head of a response to a `method` request.
 async fn read_head(
     reader: &mut ReadHalf<'_>,
     codec: &mut ClientCodec,
     received: &mut BytesMut,
-) -> Result<(ResponseHead, usize), ExchangeError> {
+    method: &Method,
+) -> Result<AnswerHead, ExchangeError> {
     loop {
-        let available = received.len();
+        let Some(length) = head_length(received)? else {
+            read_more(reader, received, HEAD_READ_BYTES).await?;
+            continue;
+        };
+        let framing = check_head(&received[..length], method)?;
         let decoded = codec.decode(received);
         let decoded =
             decoded.map_err(|error| ExchangeError::Broken(error.to_string()))?;
-        if let Some(head) = decoded {
-            return Ok((head, available - received.len()));
-        }
-        read_more(reader, received, HEAD_READ_BYTES).await?;
+        let Some(head) = decoded else {
+            let problem = "the head cannot be decoded";
+            return Err(ExchangeError::Broken(problem.to_owned()));
+        };
+        return Ok(AnswerHead {
+            head,
+            framing,
+            length,
+        });
     }
 }
 
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -150,6 +150,116 @@
     });
 }
 
+/// Heads that are no valid HTTP, by what is wrong with them.
+fn broken_heads() -> Vec<(&'static str, Vec<u8>)> {
+    let id = "cowslip-request-id: 1\r\n";
+    let mut heads = Vec::new();
+    for (case, line) in [
+        ("status 000", "HTTP/1.1 000 OK"),
+        ("status 099", "HTTP/1.1 099 OK"),
+        ("status 600", "HTTP/1.1 600 OK"),
+        ("status 999", "HTTP/1.1 999 OK"),
+        ("a status of two digits", "HTTP/1.1 20 OK"),
+        ("a status of four digits", "HTTP/1.1 2000 OK"),
+        ("a signed status", "HTTP/1.1 +20 OK"),
+        ("a status with a letter", "HTTP/1.1 2o0 OK"),
+        ("no status", "HTTP/1.1"),
+        ("another version", "HTTP/3.1 200 OK"),
+        ("a spoilt version", "HTTP/1.x 200 OK"),
+        ("another protocol", "HTCP/1.1 200 OK"),
+        ("a version in lower case", "http/1.1 200 OK"),
+        ("a tab in the status line", "HTTP/1.1\t200 OK"),
+        ("a reason with a control byte", "HTTP/1.1 200 O\x01K"),
+        ("a reason with DEL", "HTTP/1.1 200 O\x7fK"),
+        ("an empty line before it", "\r\nHTTP/1.1 200 OK"),
+        ("an unasked upgrade", "HTTP/1.1 101 Switching Protocols"),
+    ] {
+        heads.push((case, format!("{line}\r\n{id}content-length: 3\r\n\r\nown")));
+    }
+    for (case, line) in [
+        ("a line without a colon", "content-length 3"),
+        ("a line of noise", "\x1b[31mnoise"),
+        ("an empty name", ": 3"),
+        ("a blank before the colon", "content-length : 3"),
+        ("a tab before the colon", "content-length\t: 3"),
+        ("a blank in a name", "content length: 3"),
+        ("a control byte in a name", "content\x01length: 3"),
+        ("a NUL in a name", "content\0length: 3"),
+        ("DEL in a name", "content\x7flength: 3"),
+        ("a separator in a name", "content/length: 3"),
+        ("a folded line", "x-note: one\r\n two"),
+        ("a blank before a name", " content-length: 3"),
+        ("a control byte in a value", "x-note: \x01"),
+        ("a NUL in a value", "x-note: a\0b"),
+        ("DEL in a value", "x-note: a\x7fb"),
+        ("a bare CR in a value", "x-note: a\rb"),
+        ("a bare LF", "x-note: a\ncontent-length: 3"),
+    ] {
+        heads.push((case, answer(&format!("{line}\r\n"), "own")));
+        heads.push((
+            case,
+            answer(&format!("{line}\r\ncontent-length: 3\r\n"), "own"),
+        ));
+    }
+    for (case, lines) in [
+        ("a length with a sign", "content-length: +3\r\n"),
+        ("a negative length", "content-length: -3\r\n"),
+        ("a length with a letter", "content-length: 3x\r\n"),
+        ("a length with a blank", "content-length: 3 3\r\n"),
+        ("a length of a fraction", "content-length: 3.0\r\n"),
+        ("a hexadecimal length", "content-length: 0x3\r\n"),
+        ("an empty length", "content-length:\r\n"),
+        ("a length with a control byte", "content-length: 3\x02\r\n"),
+        (
+            "a length that is too large",
+            "content-length: 18446744073709551616\r\n",
+        ),
+        ("two lengths", "content-length: 3\r\ncontent-length: 2\r\n"),
+        ("two lengths in a line", "content-length: 3, 2\r\n"),
+        ("an unknown coding", "transfer-encoding: chunkee\r\n"),
+        ("an empty coding", "transfer-encoding:\r\n"),
+        ("no coding", "transfer-encoding: identity\r\n"),
+        ("a coding twice", "transfer-encoding: chunked, chunked\r\n"),
+        (
+            "a length and a coding",
+            "content-length: 3\r\ntransfer-encoding: chunked\r\n",
+        ),
+    ] {
+        heads.push((case, answer(lines, "own")));
+        heads.push((case, answer(lines, "3\r\nown\r\n0\r\n\r\n")));
+    }
+    let old = "HTTP/1.0 200 OK\r\ncowslip-request-id: 1\r\n";
+    let chunks = "transfer-encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n";
+    heads.push(("a coding of version 1.0", format!("{old}{chunks}")));
+    let empty = "HTTP/1.1 204 No Content\r\ncowslip-request-id: 1\r\n";
+    heads.push((
+        "a body where there is none",
+        format!("{empty}content-length: 3\r\n\r\nown"),
+    ));
+    let heads = heads.into_iter();
+    heads
+        .map(|(case, head)| (case, head.into_bytes()))
+        .collect()
+}
+
+// Guards against an answer that a caller gets with another status, field or body than
+// its server's, because its head is spoilt.
+#[test]
+fn an_answer_with_a_spoilt_head_is_a_failure() {
+    System::new().block_on(async {
+        let mut taken = Vec::new();
+        for (case, head) in broken_heads() {
+            for end in [ConnectionEnd::Close, ConnectionEnd::Reset] {
+                if let Some((status, body)) = outcome_of(head.clone(), end).await {
+                    let body = String::from_utf8_lossy(&body);
+                    taken.push(format!("{case}, {end:?}: {status} {body:?}"));
+                }
+            }
+        }
+        assert!(taken.is_empty(), "taken for answers: {taken:#?}");
+    });
+}
+
 // Guards against a part of a body that looks whole because its connection ended.
 #[test]
 fn an_answer_that_ends_early_is_a_failure() {
@@ -175,6 +285,112 @@
     });
 }
 
+// Guards against taking valid answers of an unusual form for broken ones.
+#[test]
+fn a_valid_answer_of_an_unusual_form_is_passed_on() {
+    System::new().block_on(async {
+        let id = "cowslip-request-id: 1\r\n";
+        let chunked = "transfer-encoding: chunked\r\n";
+        let own = |body: &str| Some((200, body.as_bytes().to_vec()));
+        for (case, answer, expected) in [
+            ("until the close", answer("", "own"), own("own")),
+            ("empty until the close", answer("", ""), own("")),
+            (
+                "version 1.0, until the close",
+                format!("HTTP/1.0 200 OK\r\n{id}\r\nown"),
+                own("own"),
+            ),
+            (
+                "version 1.0 with a length",
+                format!("HTTP/1.0 200 OK\r\n{id}content-length: 3\r\n\r\nown"),
+                own("own"),
+            ),
+            (
+                "no reason",
+                format!("HTTP/1.1 200 \r\n{id}content-length: 3\r\n\r\nown"),
+                own("own"),
+            ),
+            (
+                "a reason of 8-bit bytes",
+                format!("HTTP/1.1 200 D\u{e9}j\u{e0}\r\n{id}content-length: 3\r\n\r\nown"),
+                own("own"),
+            ),
+            (
+                "a status of no name",
+                format!("HTTP/1.1 599 \r\n{id}content-length: 3\r\n\r\nown"),
+                Some((599, b"own".to_vec())),
+            ),
+            (
+                "names of all token characters",
+                answer("!#$%&'*+-.^_`|~09aZ: x\r\ncontent-length: 3\r\n", "own"),
+                own("own"),
+            ),
+            (
+                "values of 8-bit bytes, tabs and nothing",
+                answer("a: \u{e9}\tb\r\nc:\r\nd:  \r\ncontent-length: 3\r\n", "own"),
+                own("own"),
+            ),
+            (
+                "blanks around a length",
+                answer("Content-Length: \t 3 \t\r\n", "own"),
+                own("own"),
+            ),
+            (
+                "a length with zeros",
+                answer("CONTENT-LENGTH:003\r\n", "own"),
+                own("own"),
+            ),
+            (
+                "chunk extensions",
+                answer(chunked, "3;a;b=c;d=\"e f\"\r\nown\r\n0;z\r\n\r\n"),
+                own("own"),
+            ),
+            (
+                "a blank before a chunk extension",
+                answer(chunked, "3 ; a = b\r\nown\r\n0\r\n\r\n"),
+                own("own"),
+            ),
+            (
+                "sizes with zeros and capitals",
+                answer(
+                    "Transfer-Encoding: Chunked\r\n",
+                    "0003\r\nown\r\n0A\r\n0123456789\r\n000\r\n\r\n",
+                ),
+                own("own0123456789"),
+            ),
+            (
+                "trailers",
+                answer(chunked, "3\r\nown\r\n0\r\na: b\r\nC-d:\u{e9}\r\n\r\n"),
+                own("own"),
+            ),
+            (
+                "interim responses",
+                format!(
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\na: b\r\n\r\n{}",
+                    answer("content-length: 3\r\n", "own")
+                ),
+                own("own"),
+            ),
+            (
+                "no content",
+                format!("HTTP/1.1 204 No Content\r\n{id}\r\n"),
+                Some((204, Vec::new())),
+            ),
+            (
+                "no content of length 0",
+                format!("HTTP/1.1 204 No Content\r\n{id}content-length: 0\r\n\r\n"),
+                Some((204, Vec::new())),
+            ),
+        ] {
+            let outcome = outcome_of(answer, ConnectionEnd::Close).await;
+            assert_eq!(outcome, expected, "{case}");
+        }
+        let framed = answer("content-length: 3\r\n", "own");
+        let outcome = outcome_of(framed, ConnectionEnd::Keep).await;
+        assert_eq!(outcome, own("own"));
+    });
+}
+
 // Guards against waiting for the body of an answer to HEAD.
 #[test]
 fn an_answer_to_head_has_no_body() {
--- a/crates/node/tests/hop.rs
+++ b/crates/node/tests/hop.rs
@@ -481,6 +481,8 @@
     let chunked = format!("{whole}transfer-encoding: chunked\r\n\r\n");
     let foreign = "HTTP/1.1 200 OK\r\ncowslip-request-id: 0\r\n";
     let cases = [
+        ("noise", String::new(), "x"),
+        ("fields", whole.to_owned(), "name: value\r\n"),
         ("interim", String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
         ("extension", format!("{chunked}1;"), "name=value;"),
         ("zeros", chunked.clone(), "0"),
