An answer whose chunks are not valid is its server's failure

A caller could get an answer whose chunks were spoilt as a whole one.

Cause: as with heads, the library's decoder takes more than the grammar allows. Taken for whole answers on the code before, with a close and with a reset (an_answer_with_spoilt_chunks_is_a_failure): a blank behind a chunk's size, and trailers without a colon, with a blank in their names or with control bytes.

Held before, the tests stay: sizes that are missing, signed, doubled, prefixed, with a letter, too large, or other than the content; bare line feeds; control bytes in extensions; bodies without their last chunk or its end.

Change: `response_body` parses the body behind a checked head, for answers that are passed on and for those to other requests that are dropped, with the same bound on framing without content. The library's codec decodes heads alone now.

--- a/crates/node/src/hop/hop_client.rs
+++ b/crates/node/src/hop/hop_client.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::h1::ClientCodec;
 use actix_http::ResponseHead;
 use actix_http::ServiceConfig;
 use log::info;
@@ -115,8 +114,8 @@
         address: SocketAddr,
         generation: PoolGeneration,
     ) -> Result<HopConnection, TryFailure> {
-        let codec = ClientCodec::new(self.config.clone());
-        let opening = HopConnection::open(address, generation, codec);
+        let config = self.config.clone();
+        let opening = HopConnection::open(address, generation, config);
         let opened = actix_rt::time::timeout(self.options.connect_timeout, opening).await;
         match opened {
             Ok(Ok(connection)) => Ok(connection),
--- a/crates/node/src/hop/hop_connection.rs
+++ b/crates/node/src/hop/hop_connection.rs
@@ -7,14 +7,13 @@
 use actix_http::body::BodySize;
 use actix_http::error::PayloadError;
 use actix_http::h1::ClientCodec;
-use actix_http::h1::ClientPayloadCodec;
 use actix_http::h1::Message;
-use actix_http::h1::MessageType;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::Method;
 use actix_http::RequestHeadType;
 use actix_http::ResponseHead;
+use actix_http::ServiceConfig;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -32,6 +31,8 @@
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::framing_budget::FramingBudget;
 use cowslip_wire::process_log::LogValue;
+use cowslip_wire::response_body::BodyParser;
+use cowslip_wire::response_body::BodyPart;
 use cowslip_wire::response_head::check_head;
 use cowslip_wire::response_head::head_length;
 use cowslip_wire::response_head::BodyFraming;
@@ -98,10 +99,9 @@
     stream: TcpStream,
     address: SocketAddr,
     generation: PoolGeneration,
+    config: ServiceConfig,
     read_state: ReadState,
     received: BytesMut,
-    /// Budget of the body that is being read.
-    budget: FramingBudget,
     /// Sending the request failed.
     send_failed: bool,
     reusable: bool,
@@ -111,11 +111,9 @@
 /// What remains to be read of the current response.
 enum ReadState {
     /// Nothing; the next request may be sent.
-    Idle(ClientCodec),
-    /// A body whose end the codec detects.
-    Framed(ClientPayloadCodec),
-    /// A body that ends when the connection closes.
-    UntilClose,
+    Idle,
+    /// A body.
+    Body(BodyParser),
     /// The connection cannot be used any more.
     Unusable,
 }
@@ -125,7 +123,7 @@
     pub async fn open(
         address: SocketAddr,
         generation: PoolGeneration,
-        codec: ClientCodec,
+        config: ServiceConfig,
     ) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -134,9 +132,9 @@
             stream,
             address,
             generation,
-            read_state: ReadState::Idle(codec),
+            read_state: ReadState::Idle,
+            config,
             received: BytesMut::new(),
-            budget: FramingBudget::default(),
             send_failed: false,
             reusable: false,
             expires_at: BootInstant::now() + IDLE_TIMEOUT,
@@ -165,7 +163,7 @@
     /// Returns true if the response was read to its end and the connection may
     /// carry another request.
     pub fn is_reusable(&self) -> bool {
-        let idle = matches!(self.read_state, ReadState::Idle(_));
+        let idle = matches!(self.read_state, ReadState::Idle);
         self.reusable && idle && self.received.is_empty()
     }
 
@@ -176,12 +174,13 @@
         body: &mut CallBody,
     ) -> Result<ResponseHead, ExchangeError> {
         let previous = std::mem::replace(&mut self.read_state, ReadState::Unusable);
-        let ReadState::Idle(mut codec) = previous else {
+        let ReadState::Idle = previous else {
             let problem = "the previous response is still being read";
             return Err(ExchangeError::Broken(problem.to_owned()));
         };
         let mut head_bytes = BytesMut::new();
         let head = RequestHeadType::Owned(request.head());
+        let mut codec = ClientCodec::new(self.config.clone());
         codec.encode(Message::Item((head, body.size())), &mut head_bytes)?;
         let (mut reader, mut writer) = self.stream.split();
         let mut sent = false;
@@ -189,7 +188,8 @@
         let answer = {
             let sending = send(&mut writer, head_bytes, body, request);
             tokio::pin!(sending);
-            let reading = read_matching_head(&mut reader, &mut codec, received, request);
+            let reading =
+                read_matching_head(&mut reader, &self.config, received, request);
             tokio::pin!(reading);
             loop {
                 tokio::select! {
@@ -217,22 +217,15 @@
                 }
             }
         };
-        self.budget = FramingBudget::default();
         let head = answer.head;
         // Guards against a server that responds before it has read the whole
         // body: it would read the next request as the rest of that body.
         self.reusable = sent
             && !self.send_failed
-            && codec.keep_alive()
+            && head.keep_alive()
             && !answer.follows_unidentified;
         self.update_expiry(&head.headers);
-        self.read_state = match codec.message_type() {
-            _ if answer.framing == BodyFraming::UntilClose => ReadState::UntilClose,
-            MessageType::None => ReadState::Idle(codec),
-            MessageType::Payload | MessageType::Stream => {
-                ReadState::Framed(codec.into_payload_codec())
-            }
-        };
+        self.read_state = ReadState::Body(BodyParser::new(answer.framing));
         Ok(head)
     }
 
@@ -252,70 +245,42 @@
     /// Reads the next part of the response body; `None` at its end.
     pub async fn next_part(&mut self) -> Result<Option<Bytes>, PayloadError> {
         loop {
-            match &mut self.read_state {
-                ReadState::Idle(_) | ReadState::Unusable => return Ok(None),
-                ReadState::UntilClose if self.received.is_empty() => {}
-                ReadState::UntilClose => return Ok(Some(self.received.split().freeze())),
-                ReadState::Framed(payload) => {
-                    match decode_body(payload, &mut self.received, &mut self.budget)? {
-                        Some(Some(part)) => return Ok(Some(part)),
-                        Some(None) => {
-                            self.finish_body();
-                            return Ok(None);
-                        }
-                        None => {}
-                    }
+            let ReadState::Body(parser) = &mut self.read_state else {
+                return Ok(None);
+            };
+            let part = parser.parse(&mut self.received).map_err(io::Error::from)?;
+            match part {
+                BodyPart::Content(content) => return Ok(Some(content)),
+                BodyPart::End => {
+                    self.read_state = ReadState::Idle;
+                    return Ok(None);
                 }
+                BodyPart::NeedsInput => {}
             }
+            // Guards against a truncated response that looks complete: a
+            // close ends only a body without a stated length. The kernel reports
+            // the reset of a connection once; after a send that failed with it, a
+            // read finds a plain close.
+            let ends_with_close = parser.ends_with_close() && !self.send_failed;
             let (mut reader, _) = self.stream.split();
             let read = read_ready(&mut reader, &mut self.received, BODY_READ_BYTES).await;
             if read.map_err(PayloadError::Io)? > 0 {
                 continue;
             }
-            // Guards against a truncated response that looks complete: a
-            // close ends only a body without a stated length. The kernel reports
-            // the reset of a connection once; after a send that failed with it, a
-            // read finds a plain close.
-            let until_close = matches!(self.read_state, ReadState::UntilClose);
-            let complete = until_close && !self.send_failed;
             self.read_state = ReadState::Unusable;
-            if complete {
+            if ends_with_close {
                 return Ok(None);
             }
             return Err(PayloadError::Incomplete(None));
         }
     }
 
-    fn finish_body(&mut self) {
-        let previous = std::mem::replace(&mut self.read_state, ReadState::Unusable);
-        if let ReadState::Framed(payload) = previous {
-            self.reusable &= payload.keep_alive();
-            self.read_state = ReadState::Idle(payload.into_message_codec());
-        }
-    }
-
     /// Frees the receive buffer, which an idle connection does not need.
     pub fn release_buffer(&mut self) {
         self.received = BytesMut::new();
     }
 }
 
-/// Decodes the next part of a body, as the codec does; fails if bytes without content
-/// go on without end.
-fn decode_body(
-    payload: &mut ClientPayloadCodec,
-    received: &mut BytesMut,
-    budget: &mut FramingBudget,
-) -> Result<Option<Option<Bytes>>, PayloadError> {
-    let available = received.len();
-    let decoded = payload.decode(received)?;
-    let part = decoded.as_ref().and_then(Option::as_ref);
-    let content = part.map_or(0, Bytes::len);
-    let taken = available - received.len();
-    budget.record(taken, content).map_err(PayloadError::Io)?;
-    Ok(decoded)
-}
-
 /// Guards against a connection whose state was lost on the path, for example in
 /// a firewall: nothing comes back, not even a reset, and every call on it would
 /// wait for its deadline. The kernel closes it within
@@ -399,14 +364,14 @@
 /// ID that they do not echo, read to their end and dropped.
 async fn read_matching_head(
     reader: &mut ReadHalf<'_>,
-    codec: &mut ClientCodec,
+    config: &ServiceConfig,
     received: &mut BytesMut,
     request: &HopRequest,
 ) -> Result<MatchingHead, ExchangeError> {
     let mut follows_unidentified = false;
     let mut budget = FramingBudget::default();
     loop {
-        let answer = read_head(reader, codec, received, &request.method).await?;
+        let answer = read_head(reader, config, received, &request.method).await?;
         let AnswerHead {
             head,
             framing,
@@ -435,7 +400,7 @@
             let problem = "a response to another request ends only with the connection";
             return Err(ExchangeError::Broken(problem.to_owned()));
         }
-        discard_body(reader, codec, received, &mut budget).await?;
+        discard_body(reader, BodyParser::new(framing), received, &mut budget).await?;
     }
 }
 
@@ -457,7 +422,7 @@
 /// Reads the head of a response to a `method` request.
 async fn read_head(
     reader: &mut ReadHalf<'_>,
-    codec: &mut ClientCodec,
+    config: &ServiceConfig,
     received: &mut BytesMut,
     method: &Method,
 ) -> Result<AnswerHead, ExchangeError> {
@@ -467,7 +432,8 @@
             continue;
         };
         let framing = check_head(&received[..length], method)?;
-        let decoded = codec.decode(received);
+        // A new codec each time: one that has decoded a head expects a body.
+        let decoded = ClientCodec::new(config.clone()).decode(received);
         let decoded =
             decoded.map_err(|error| ExchangeError::Broken(error.to_string()))?;
         let Some(head) = decoded else {
@@ -494,39 +460,35 @@
     Ok(())
 }
 
+/// Reads a body of a response to another request to its end.
 async fn discard_body(
     reader: &mut ReadHalf<'_>,
-    codec: &mut ClientCodec,
+    mut parser: BodyParser,
     received: &mut BytesMut,
     budget: &mut FramingBudget,
 ) -> Result<(), ExchangeError> {
-    if codec.message_type() == MessageType::None {
-        return Ok(());
-    }
     let mut discarded = 0;
-    let message = std::mem::take(codec);
-    let mut payload = message.into_payload_codec();
     loop {
         let available = received.len();
-        let decoded = payload.decode(received);
-        let decoded =
-            decoded.map_err(|error| ExchangeError::Broken(error.to_string()))?;
-        let part = decoded.as_ref().and_then(Option::as_ref);
-        let content = part.map_or(0, Bytes::len);
+        let part = parser.parse(received)?;
+        let content = match &part {
+            BodyPart::Content(content) => content.len(),
+            BodyPart::End | BodyPart::NeedsInput => 0,
+        };
         budget.record(available - received.len() - content, 0)?;
         discarded += content;
         if discarded > DISCARDED_BYTES_MAX {
             let problem = "a response to another request is too long";
             return Err(ExchangeError::Broken(problem.to_owned()));
         }
-        match decoded {
-            Some(None) => break,
-            Some(Some(_)) => {}
-            None => read_more(reader, received, BODY_READ_BYTES).await?,
+        match part {
+            BodyPart::Content(_) => {}
+            BodyPart::End => return Ok(()),
+            BodyPart::NeedsInput => {
+                read_more(reader, received, BODY_READ_BYTES).await?;
+            }
         }
     }
-    *codec = payload.into_message_codec();
-    Ok(())
 }
 
 impl CallBody {
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -260,6 +260,67 @@
     });
 }
 
+// Guards against a part of a body, or other bytes, that look like a whole body because
+// its chunks are spoilt.
+#[test]
+fn an_answer_with_spoilt_chunks_is_a_failure() {
+    System::new().block_on(async {
+        let mut taken = Vec::new();
+        for (case, chunks) in [
+            ("no size", "3\r\nown\r\n\r\n\r\n"),
+            ("no size, an extension", "3\r\nown\r\n;a=b\r\n\r\n"),
+            ("a blank for a size", "3\r\nown\r\n \r\n\r\n"),
+            ("a blank before a size", "3\r\nown\r\n 0\r\n\r\n"),
+            ("a blank behind a size", "3 \r\nown\r\n0\r\n\r\n"),
+            ("two sizes", "3 3\r\nown\r\n0\r\n\r\n"),
+            ("a size with a sign", "+3\r\nown\r\n0\r\n\r\n"),
+            ("a size with a letter", "3g\r\nown\r\n0\r\n\r\n"),
+            ("a size with a prefix", "0x3\r\nown\r\n0\r\n\r\n"),
+            (
+                "a size that is too large",
+                "10000000000000003\r\nown\r\n0\r\n\r\n",
+            ),
+            ("a size that is too small", "2\r\nown\r\n0\r\n\r\n"),
+            ("a size that is too great", "5\r\nown\r\n0\r\n\r\n"),
+            ("a bare LF behind a size", "3\nown\r\n0\r\n\r\n"),
+            ("a bare LF behind a chunk", "3\r\nown\n0\r\n\r\n"),
+            ("a bare LF at the end", "3\r\nown\r\n0\r\n\n"),
+            ("a bare LF behind the last size", "3\r\nown\r\n0\n\r\n"),
+            (
+                "a control byte in an extension",
+                "3;a=\x01\r\nown\r\n0\r\n\r\n",
+            ),
+            ("a line feed in an extension", "3;a=\nb\r\nown\r\n0\r\n\r\n"),
+            (
+                "a trailer without a colon",
+                "3\r\nown\r\n0\r\nnoise\r\n\r\n",
+            ),
+            (
+                "a trailer with a blank in its name",
+                "3\r\nown\r\n0\r\na b: c\r\n\r\n",
+            ),
+            (
+                "a trailer with a control byte",
+                "3\r\nown\r\n0\r\na: \x01\r\n\r\n",
+            ),
+            ("no last chunk", "3\r\nown\r\n"),
+            ("no end of the last chunk", "3\r\nown\r\n0\r\n"),
+            ("half an end of the last chunk", "3\r\nown\r\n0\r\n\r"),
+            ("no end of the trailers", "3\r\nown\r\n0\r\na: b\r\n"),
+            ("nothing", ""),
+        ] {
+            let spoilt = answer("transfer-encoding: chunked\r\n", chunks);
+            for end in [ConnectionEnd::Close, ConnectionEnd::Reset] {
+                if let Some((status, body)) = outcome_of(spoilt.clone(), end).await {
+                    let body = String::from_utf8_lossy(&body);
+                    taken.push(format!("{case}, {end:?}: {status} {body:?}"));
+                }
+            }
+        }
+        assert!(taken.is_empty(), "taken for answers: {taken:#?}");
+    });
+}
+
 // Guards against a part of a body that looks whole because its connection ended.
 #[test]
 fn an_answer_that_ends_early_is_a_failure() {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,6 +24,7 @@
 mod pipelined_connection;
 pub mod process_log;
 pub mod registered_metric;
+pub mod response_body;
 pub mod response_head;
 pub mod settings_file;
 pub mod settings_node;
--- a/crates/wire/src/response_head.rs
+++ b/crates/wire/src/response_head.rs
@@ -27,7 +27,7 @@
     /// The status is none of a final or interim response.
     #[error("the status {0} answers no request")]
     Status(u16),
-    /// A line is not a field.
+    /// A line of the head or of the trailers is not a field.
     #[error("a line is not a field")]
     Field,
     /// The length of the body is not one number, or contradicts other fields.
@@ -36,6 +36,15 @@
     /// The transfer coding is not `chunked`, or contradicts other fields.
     #[error("the transfer coding is not valid")]
     TransferCoding,
+    /// A chunk of the body has no valid size, or other bytes than its size says.
+    #[error("a chunk of the body is not valid")]
+    Chunk,
+    /// A line within the body is longer than any of a sound server.
+    #[error("a line within the body has no end")]
+    LineTooLong,
+    /// The body has far more framing than content.
+    #[error("the body has too little content")]
+    TooLittleContent,
 }
 
 impl From<ResponseFault> for io::Error {
@@ -95,7 +104,7 @@
 }
 
 /// Checks a field line, without its line end, and returns its name and value.
-fn check_field(line: &[u8]) -> Result<(&[u8], &[u8]), ResponseFault> {
+pub(crate) fn check_field(line: &[u8]) -> Result<(&[u8], &[u8]), ResponseFault> {
     let colon = line.iter().position(|byte| *byte == b':');
     let (name, value) = line.split_at(colon.ok_or(ResponseFault::Field)?);
     let value = &value[1..];
@@ -113,12 +122,12 @@
 
 /// Returns whether a byte may stand in the value of a field or in a reason phrase:
 /// any but the control bytes other than a tab.
-fn is_text_byte(byte: u8) -> bool {
+pub(crate) fn is_text_byte(byte: u8) -> bool {
     byte == b'\t' || !byte.is_ascii_control()
 }
 
 /// Removes the CR LF at the end of a line.
-fn strip_line_end(line: &[u8]) -> Result<&[u8], ResponseFault> {
+pub(crate) fn strip_line_end(line: &[u8]) -> Result<&[u8], ResponseFault> {
     line.strip_suffix(b"\r\n").ok_or(ResponseFault::LineEnd)
 }
 
