A 304 that states a length is passed on

A caller of a conditional request got 502 with connection-broken, or waited until its deadline, for a valid answer: 304 with the length of the content that it leaves out.

Cause: such a length was taken for that of a body, by the reader of the answer and again when it is passed on.

The length is left out.

--- a/crates/cli/tests/calls/broken_answers.rs
+++ b/crates/cli/tests/calls/broken_answers.rs
@@ -114,3 +114,21 @@
         }
     });
 }
+
+// Guards against waiting for a body that is not sent: the answer to a conditional request
+// states the length of what it leaves out.
+#[test]
+fn an_answer_without_a_body_may_state_a_length() {
+    System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let fleet = fleet(folder.path()).await;
+        let answer =
+            "HTTP/1.1 304 Not Modified\r\ncontent-length: 3\r\netag: \"a\"\r\n\r\n";
+        let server = BrokenServer::spawn(ServerFault::AnswerThenClose(answer)).await;
+        announce(&fleet.nodes[0].node, server.address, 10).await;
+        let got = send_until_received(&fleet, &server, 0).await;
+        assert!(got.starts_with("HTTP/1.1 304"), "{got}");
+        assert!(got.contains("\r\netag: \"a\"\r\n"), "{got}");
+        assert!(got.ends_with("\r\n\r\n"), "{got}");
+    });
+}
--- a/crates/node/src/call_forward.rs
+++ b/crates/node/src/call_forward.rs
@@ -21,6 +21,7 @@
 use actix_http::Payload;
 use actix_http::Request;
 use actix_http::Response;
+use actix_http::StatusCode;
 use actix_http::Uri;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -226,6 +227,13 @@
     if *method == Method::HEAD {
         return reply.set_body(BoxBody::new(HeadBody(length)));
     }
+    if matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    ) {
+        // A length that these state is not that of a body.
+        return reply.set_body(BoxBody::new(HeadBody(None)));
+    }
     let forwarded = ForwardedBody {
         body,
         give_up_at,
@@ -259,7 +267,7 @@
     }
 }
 
-/// Body of a response to HEAD: empty, with the stated length.
+/// Body of a response that has a head alone: empty, with the stated length.
 struct HeadBody(Option<u64>);
 
 impl MessageBody for HeadBody {
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -442,6 +442,11 @@
                 format!("HTTP/1.1 204 No Content\r\n{id}content-length: 0\r\n\r\n"),
                 Some((204, Vec::new())),
             ),
+            (
+                "not modified, with the length of what was not sent",
+                format!("HTTP/1.1 304 Not Modified\r\n{id}content-length: 3\r\n\r\n"),
+                Some((304, Vec::new())),
+            ),
         ] {
             let outcome = outcome_of(answer, ConnectionEnd::Close).await;
             assert_eq!(outcome, expected, "{case}");
