A body that breaks off never looks whole to a caller of HTTP/1.0

A caller of HTTP/1.0 got a body without a length with the sizes of its chunks in it; without these, a body that breaks off would have looked whole to it.

Cause: the reply to such a caller was written in chunks, which HTTP/1.0 does not have. Nothing but the close of the connection can end its body, and a body that breaks off, a stop that cuts it and the end of the process close it the same way.

Evidence, on the code before: "HTTP/1.0 200 OK / transfer-encoding: chunked ... 6 / a part" and a plain close, for a body that broke off (a_reply_that_breaks_off_resets_a_connection_whose_close_would_end_it).

Change: such a reply has neither length nor chunks. From its head until its end is sent, the socket is set to be reset when it is dropped, whoever drops it. The listener for the backend server beside the node serves its connections as that for callers does, since calls arrive there, too. The library's own connections are left for other nodes, which speak 1.1, and for control and admin pages, whose replies have a length.

Held before: a reply in chunks that breaks off has no last chunk, at either kind of listener.

--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -328,7 +328,12 @@
                 paced(Rc::new(callers)),
                 timeouts_watch,
             )?,
-            local: listen(sockets.local, CONNECTIONS_MAX, local)?,
+            local: HttpListener::spawn_pipelined(
+                sockets.local,
+                CONNECTIONS_MAX,
+                local,
+                watch::channel(ListenerTimeouts::default()).1,
+            )?,
             peer: listen(
                 sockets.peer,
                 CONNECTIONS_MAX,
--- a/crates/wire/src/pipelined_connection.rs
+++ b/crates/wire/src/pipelined_connection.rs
@@ -23,6 +23,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::ReadHalf;
@@ -89,6 +90,7 @@
         reply_body: None,
         draining: false,
         final_reply_written: false,
+        reset_if_dropped: false,
         idle_since: BootInstant::now(),
         request_received: false,
     };
@@ -132,6 +134,8 @@
     draining: bool,
     /// The response that closes the connection was written to `output`.
     final_reply_written: bool,
+    /// The kernel resets the connection if it is dropped.
+    reset_if_dropped: bool,
     /// When the connection last became idle, or a head began to arrive.
     idle_since: BootInstant,
     /// At least one request was received on this connection.
@@ -231,7 +235,12 @@
             // last of these closes the connection.
             self.draining |= reply.asks_to_close();
             let unread = self.body_decoder.is_some();
-            let close = unread || (self.draining && self.exchanges.is_empty());
+            let last = self.draining && self.exchanges.is_empty();
+            let ends_body = reply.ends_with_close();
+            if ends_body {
+                self.set_reset_if_dropped(true)?;
+            }
+            let close = unread || last || ends_body;
             self.reply_body = reply.write_head(close, &mut self.output)?;
             if self.reply_body.is_none() {
                 self.reply_written(close);
@@ -240,6 +249,14 @@
         Ok(())
     }
 
+    /// Sets whether the kernel resets the connection if it is dropped, even by the end
+    /// of the process. Its plain close would end a body that breaks off.
+    fn set_reset_if_dropped(&mut self, reset: bool) -> io::Result<()> {
+        self.reset_if_dropped = reset;
+        let socket = SockRef::from(self.writer.as_ref());
+        socket.set_linger(reset.then_some(Duration::ZERO))
+    }
+
     fn reply_written(&mut self, close: bool) {
         self.final_reply_written |= close;
         self.idle_since = BootInstant::now();
@@ -360,6 +377,9 @@
     /// Flushes the output, closes the sending side and discards unread input.
     async fn finish(mut self) -> io::Result<()> {
         self.writer.write_all_buf(&mut self.output).await?;
+        if self.reset_if_dropped {
+            self.set_reset_if_dropped(false)?;
+        }
         self.writer.shutdown().await?;
         if self.body_decoder.is_none() && self.input.is_empty() {
             return Ok(());
--- a/crates/wire/src/pipelined_connection/pipelined_exchange.rs
+++ b/crates/wire/src/pipelined_connection/pipelined_exchange.rs
@@ -25,6 +25,7 @@
 use actix_http::Response;
 use actix_http::ServiceConfig;
 use actix_http::StatusCode;
+use actix_http::Version;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::stream;
@@ -56,6 +57,7 @@
     request: Result<Request, StatusCode>,
     concurrent: bool,
     last: bool,
+    chunks: bool,
 }
 
 impl ReceivedRequest {
@@ -72,6 +74,7 @@
                 Some(Self {
                     concurrent: no_body && safe,
                     last: !codec.keep_alive(),
+                    chunks: request.version() >= Version::HTTP_11,
                     codec,
                     request: Ok(request),
                 })
@@ -96,6 +99,7 @@
             request: Err(status),
             concurrent: false,
             last: true,
+            chunks: false,
         }
     }
 
@@ -142,6 +146,7 @@
         let exchange = PipelinedExchange {
             codec,
             concurrent: self.concurrent,
+            chunks: self.chunks,
             progress: ReplyProgress::Running(running),
         };
         (exchange, body_decoder)
@@ -158,6 +163,8 @@
 pub(super) struct PipelinedExchange {
     codec: SharedCodec,
     concurrent: bool,
+    /// The caller reads bodies in chunks.
+    chunks: bool,
     progress: ReplyProgress,
 }
 
@@ -172,6 +179,7 @@
         match self.progress {
             ReplyProgress::Ready(reply) => Ok(ReadyReply {
                 codec: self.codec,
+                chunks: self.chunks,
                 reply,
             }),
             ReplyProgress::Running(_) => Err(self),
@@ -201,6 +209,7 @@
 /// A response whose head is complete and whose body is not written yet.
 pub(super) struct ReadyReply {
     codec: SharedCodec,
+    chunks: bool,
     reply: Response<CountedBody>,
 }
 
@@ -210,6 +219,12 @@
         self.reply.head().connection_type() == ConnectionType::Close
     }
 
+    /// Returns true if nothing but the close of the connection ends the body, as for
+    /// a body without a length and a caller of HTTP/1.0.
+    pub(super) fn ends_with_close(&self) -> bool {
+        !self.chunks && matches!(self.reply.body().size(), BodySize::Stream)
+    }
+
     /// Writes the head and returns the writer of the body, if there is one.
     /// `close` says that the connection closes after this response.
     pub(super) fn write_head(
@@ -217,6 +232,9 @@
         close: bool,
         output: &mut BytesMut,
     ) -> io::Result<Option<BodyWriter>> {
+        if self.ends_with_close() {
+            self.reply.head_mut().no_chunking(true);
+        }
         if close {
             self.reply
                 .head_mut()
