No call is taken late in a stop that may outlast it

In a planned stop of one node with a time limit, calls that came late were passed on and cut without an answer at its end, among them calls that may not be repeated.

Cause, in two places. A call was accepted by the stage of the stop at which its head had arrived; a body that took seconds brought it to a server when hardly any time was left. And late in a stop a call was accepted up to the instant at which the process gives up, so that its answer at its deadline came too late.

Evidence, on the code before: a_call_whose_body_ends_late_in_a_stop_is_refused got a closed connection, and its server a call; of 80 calls of a_call_that_is_taken_late_in_a_stop_is_answered, those whose deadline was 10 and 15 ms before the end got none either.

Change: the stage and the time left are looked at when the body is complete, and 200 ms before the end are kept for an answer. Such a call is refused as not-run, so that its caller sends it elsewhere. The stage has an owner, StopProgress.

--- a/crates/cli/tests/calls/planned_stop.rs
+++ b/crates/cli/tests/calls/planned_stop.rs
@@ -1,13 +1,21 @@
 //! Planned stops of nodes and crashes of idle servers must not break calls.
 
+use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
+use cowslip_cli::local_fleet::FleetNode;
+use cowslip_cli::local_fleet::LocalFleet;
 use cowslip_core::directory::EndpointStanding;
 use cowslip_wire::messages::EndpointsCall;
 
+use crate::broken_server::BrokenServer;
+use crate::broken_server::ServerFault;
 use crate::fleet_calls::announce;
 use crate::fleet_calls::fleet;
 use crate::fleet_calls::CallRequest;
@@ -101,6 +109,113 @@
     });
 }
 
+/// Time that a node has to stop, and when in it only short calls are taken.
+const STOP_TIME: Duration = Duration::from_secs(4);
+const LATE_TIME: Duration = Duration::from_millis(2_300);
+
+/// Starts a fleet in which the service `tested` has a server that never answers, and
+/// takes a node with another server from it.
+async fn fleet_with_silent_server(
+    folder: &Path,
+) -> (LocalFleet, FleetNode, BrokenServer) {
+    let mut fleet = fleet(folder).await;
+    let leaving = fleet.nodes.remove(0);
+    let server = BrokenServer::spawn(ServerFault::Silent).await;
+    announce(&fleet.nodes[0].node, server.address, 10).await;
+    let probe = CallRequest {
+        path: "/tested/probe",
+        deadline_ms: Some(500),
+        ..CallRequest::default()
+    };
+    let started = Instant::now();
+    while server.requests() == 0 {
+        probe.send(leaving.node.callers(), b"").await;
+        assert!(
+            started.elapsed() < FLEET_TIMEOUT,
+            "the server is never found"
+        );
+    }
+    (fleet, leaving, server)
+}
+
+// Guards against passing on a call whose head arrived before a stop and whose body ended
+// so late in it that the end of the process cuts the call.
+#[test]
+fn a_call_whose_body_ends_late_in_a_stop_is_refused() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (_fleet, leaving, server) = fleet_with_silent_server(folder.path()).await;
+        let before = server.requests();
+        let mut stream = TcpStream::connect(leaving.node.callers())
+            .await
+            .expect("a connection");
+        let head = "PUT /tested/sale HTTP/1.1\r\nhost: here\r\n\
+                    cowslip-customer: anna\r\ncowslip-deadline-ms: 10000\r\n\
+                    content-length: 5\r\n\r\nwh";
+        stream.write_all(head.as_bytes()).await.expect("it is sent");
+        // The head is handled before the stop begins.
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let stopping = actix_rt::spawn(leaving.node.stop_within(STOP_TIME));
+        actix_rt::time::sleep(LATE_TIME).await;
+        stream.write_all(b"ole").await.expect("it is sent");
+        let mut answer = Vec::new();
+        let reading = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{reading:?} {answer}");
+        assert!(answer.contains("cowslip-verdict: not-run"), "{answer}");
+        assert_eq!(server.requests(), before, "the call was passed on");
+        stopping.await.expect("it ends");
+    });
+}
+
+// Guards against taking a call late in a stop that ends together with the process.
+#[test]
+fn a_call_that_is_taken_late_in_a_stop_is_answered() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (fleet, leaving, _server) = fleet_with_silent_server(folder.path()).await;
+        let node = leaving.node.callers();
+        // Calls of another node keep the stopping one from ending early.
+        let other = fleet.nodes[0].node.callers();
+        for _ in 0..20 {
+            actix_rt::spawn(async move {
+                let call = CallRequest {
+                    path: "/contracts/slow",
+                    wait_ms: 8_000,
+                    ..CallRequest::default()
+                };
+                call.send(other, b"an export").await
+            });
+        }
+        while leaving.stand_in.counts().running.get() == 0 {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+        let stopping = actix_rt::spawn(leaving.node.stop_within(STOP_TIME));
+        actix_rt::time::sleep(LATE_TIME).await;
+        let left = (STOP_TIME - LATE_TIME).as_millis() as u64;
+        let mut calls = Vec::new();
+        for early_ms in (0..400).step_by(5) {
+            calls.push(actix_rt::spawn(async move {
+                let call = CallRequest {
+                    path: "/tested/sale",
+                    deadline_ms: Some(left - early_ms),
+                    ..CallRequest::default()
+                };
+                (early_ms, call.send(node, b"a batch").await)
+            }));
+        }
+        let mut cut = Vec::new();
+        for call in calls {
+            let (early_ms, answer) = call.await.expect("it ends");
+            if answer.is_none() {
+                cut.push(early_ms);
+            }
+        }
+        assert!(cut.is_empty(), "cut, with deadlines so early: {cut:?} ms");
+        stopping.await.expect("it ends");
+    });
+}
+
 // An idle backend server crashes. The first call that cannot connect must get the
 // verdict not-run, and the directory must stop offering the server well before
 // its lease expires.
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -1,7 +1,6 @@
 //! Entry side of a node: handles callers' requests, sends each to a server's
 //! node and returns the response.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,6 +58,7 @@
 use crate::hop::HopResponse;
 use crate::keyed_call;
 use crate::node_stage::NodeStage;
+use crate::node_stage::StopProgress;
 use crate::packed_headers;
 use crate::quarantine_list::QuarantineList;
 use crate::refusal_reply::refusal_reply;
@@ -100,21 +100,20 @@
 pub struct EntryHandler {
     proxy: Rc<EntryProxy>,
     origin: CallOrigin,
-    stage: Rc<Cell<NodeStage>>,
+    progress: Rc<StopProgress>,
 }
 
 impl EntryHandler {
-    /// Creates a handler for calls from `origin`; `stage` is the node's current
-    /// stage.
+    /// Creates a handler for calls from `origin`.
     pub fn new(
         proxy: Rc<EntryProxy>,
         origin: CallOrigin,
-        stage: Rc<Cell<NodeStage>>,
+        progress: Rc<StopProgress>,
     ) -> Self {
         Self {
             proxy,
             origin,
-            stage,
+            progress,
         }
     }
 }
@@ -123,10 +122,10 @@
     fn handle(&self, request: Request) -> ReplyFuture {
         let proxy = Rc::clone(&self.proxy);
         let origin = self.origin;
-        let stage = Rc::clone(&self.stage);
+        let progress = Rc::clone(&self.progress);
         Box::pin(async move {
-            let mut reply = proxy.serve(request, origin, stage.get()).await;
-            if stage.get() != NodeStage::Serving {
+            let mut reply = proxy.serve(request, origin, &progress).await;
+            if progress.stage() != NodeStage::Serving {
                 let head = reply.head_mut();
                 head.set_connection_type(ConnectionType::Close);
             }
@@ -141,12 +140,12 @@
 
 impl EntryProxy {
     /// Handles a call with all of its attempts and returns the reply. The call
-    /// is refused if a node in `stage` does not accept it.
+    /// is refused if the node does not accept it at this point of a stop.
     pub async fn serve(
         self: &Rc<Self>,
         request: Request,
         origin: CallOrigin,
-        stage: NodeStage,
+        progress: &StopProgress,
     ) -> HttpReply {
         let id = LoggedId::of(&request, &self.dialect.request_id);
         let began = BootInstant::now();
@@ -154,7 +153,7 @@
         let header = &self.dialect.deadline_ms;
         let deadline = call_headers::deadline_in(request.headers(), header);
         let deadline = deadline.ok().flatten();
-        match self.handle_call(request, &id, origin, stage).await {
+        match self.handle_call(request, &id, origin, progress).await {
             Ok(reply) => {
                 self.metrics.answered();
                 reply
@@ -179,8 +178,9 @@
         mut request: Request,
         id: &LoggedId,
         origin: CallOrigin,
-        stage: NodeStage,
+        progress: &StopProgress,
     ) -> Result<HttpReply, CallRefusal> {
+        let arrived = BootInstant::now();
         let header = &self.dialect.deadline_ms;
         let deadline = call_headers::deadline_in(request.headers(), header);
         let deadline = deadline.map_err(|_| not_run(RefusalReason::BadHeader))?;
@@ -216,7 +216,12 @@
         if let Err(refusal) = self.check_quarantine(&parts, &body) {
             return self.refuse(call, refusal).await;
         }
-        let planned = match self.admit(head, stage).await {
+        // The body may have arrived long after the head.
+        let left = deadline.map(|deadline| deadline.saturating_sub(arrived.elapsed()));
+        if !progress.stage().accepts(left) {
+            return self.refuse(call, not_run(RefusalReason::Stopping)).await;
+        }
+        let planned = match self.admit(head).await {
             Ok(planned) => planned,
             Err(refusal) => return self.refuse(call, refusal).await,
         };
@@ -255,10 +260,7 @@
     }
 
     /// Asks the entry task for the first attempt's server.
-    async fn admit(&self, head: OwnedHead, stage: NodeStage) -> RoutingResult {
-        if !stage.accepts(head.deadline) {
-            return Err(not_run(RefusalReason::Stopping));
-        }
+    async fn admit(&self, head: OwnedHead) -> RoutingResult {
         let (reply, answer) = oneshot::channel();
         let message = EntryMessage::Admit(head, reply);
         self.ask_entry_task(message, answer, CallVerdict::NotRun)
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -25,7 +25,7 @@
 use crate::entry_handler::EntryProxy;
 use crate::gate_messages::GateMessage;
 use crate::gate_messages::ServerAnnouncement;
-use crate::node_stage::NodeStage;
+use crate::node_stage::StopProgress;
 
 /// Largest accepted announcement, in bytes. Announcements are a few lines of
 /// JSON.
@@ -77,9 +77,9 @@
                 (&Method::POST, "/drain") => drain(&gate, &entry, &request).await,
                 _ => {
                     let _guard = OutboundGuard::begin(gate);
-                    entry
-                        .serve(request, CallOrigin::Backend, NodeStage::Serving)
-                        .await
+                    // The server's work for other nodes needs its calls to the end.
+                    let progress = StopProgress::default();
+                    entry.serve(request, CallOrigin::Backend, &progress).await
                 }
             }
         })
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -51,6 +51,7 @@
 use crate::local_handler::LocalHandler;
 use crate::node_settings::NodeSettings;
 use crate::node_stage::NodeStage;
+use crate::node_stage::StopProgress;
 use crate::peer_handler::PeerHandler;
 use crate::peer_handler::PeerProxy;
 use crate::quarantine_list::QuarantineList;
@@ -104,7 +105,7 @@
     admin: HttpListener,
     gate: mpsc::UnboundedSender<GateMessage>,
     controls: watch::Sender<Vec<SocketAddr>>,
-    stage: Rc<Cell<NodeStage>>,
+    progress: Rc<StopProgress>,
     drain_notice: Duration,
     stop_within: Option<Duration>,
 }
@@ -164,7 +165,7 @@
 #[derive(Clone)]
 pub struct NodeStatus {
     version: Rc<Cell<ConfigVersion>>,
-    stage: Rc<Cell<NodeStage>>,
+    progress: Rc<StopProgress>,
 }
 
 impl NodeStatus {
@@ -172,7 +173,7 @@
     /// is not leaving.
     pub fn is_ready(&self) -> bool {
         let configured = self.version.get() > ConfigVersion::ZERO;
-        configured && self.stage.get() == NodeStage::Serving
+        configured && self.progress.stage() == NodeStage::Serving
     }
 }
 
@@ -228,7 +229,7 @@
         let version = Rc::new(Cell::new(ConfigVersion::ZERO));
         let status = NodeStatus {
             version: Rc::clone(&version),
-            stage: Rc::new(Cell::new(NodeStage::Serving)),
+            progress: Rc::default(),
         };
         let quarantines = QuarantineList::default();
         let (listener_timeouts, timeouts_watch) =
@@ -303,11 +304,11 @@
             metrics: server_metrics,
             log: CallLog::new("server", version),
         };
-        let stage = Rc::clone(&status.stage);
+        let progress = Rc::clone(&status.progress);
         let callers = EntryHandler::new(
             Rc::clone(&entry_proxy),
             CallOrigin::Outside,
-            Rc::clone(&stage),
+            Rc::clone(&progress),
         );
         let local = Rc::new(LocalHandler::new(gate.clone(), entry_proxy));
         let local = (middleware.local)(ServerReporter { gate: gate.clone() }, local);
@@ -342,7 +343,7 @@
             admin: listen(sockets.admin, ADMIN_CONNECTIONS_MAX, admin_handler)?,
             gate,
             controls,
-            stage,
+            progress,
             drain_notice: settings.drain_notice,
             stop_within: settings.stop_within,
         };
@@ -393,7 +394,7 @@
     }
 
     async fn drain_and_stop(self) -> bool {
-        self.stage.set(NodeStage::Stopping);
+        self.progress.set_stage(NodeStage::Stopping);
         let _ = self.gate.send(GateMessage::Stop);
         actix_rt::time::sleep(self.drain_notice).await;
         let mut drained = self.callers.stop(DRAIN_TIMEOUT).await;
@@ -418,10 +419,10 @@
     pub async fn stop_within(self, within: Duration) -> bool {
         let end = BootInstant::now() + within;
         let left = || end.saturating_duration_since(BootInstant::now());
-        self.stage.set(NodeStage::Leaving);
+        self.progress.set_stage(NodeStage::Leaving);
         actix_rt::time::sleep(self.drain_notice).await;
         let _ = self.gate.send(GateMessage::Stop);
-        self.stage.set(NodeStage::Ending(end));
+        self.progress.set_stage(NodeStage::Ending(end));
         // The peer listener closes before the callers' listener: the backend
         // server's work for other nodes may need outbound calls, which arrive
         // on the callers' listener.
@@ -429,7 +430,7 @@
             .peer
             .stop(left().saturating_sub(RESPONSE_FLUSH_TIME))
             .await;
-        self.stage.set(NodeStage::Stopping);
+        self.progress.set_stage(NodeStage::Stopping);
         drained &= self.callers.stop(left()).await;
         drained &= self.local.stop(left()).await;
         drained & self.admin.stop(left()).await
--- a/crates/node/src/node_stage.rs
+++ b/crates/node/src/node_stage.rs
@@ -1,19 +1,25 @@
 //! Stage of a node's planned stop, and which calls it still accepts.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use cowslip_wire::boot_instant::BootInstant;
 
+/// Time that is reserved for the answer of an accepted call, between its deadline and
+/// the end of a stop.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Stage of a node's planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum NodeStage {
     /// The node accepts all calls.
+    #[default]
     Serving,
     /// The node accepts all calls, and its readiness page says that it is
     /// leaving.
     Leaving,
-    /// The node accepts only calls whose deadline is before this instant; calls
-    /// in flight finish.
+    /// The node accepts only calls whose deadline is well before this instant;
+    /// calls in flight finish.
     Ending(BootInstant),
     /// The node refuses new calls; calls in flight finish.
     Stopping,
@@ -32,9 +38,27 @@
             Self::Serving | Self::Leaving => true,
             Self::Ending(end) => {
                 let until_end = end.saturating_duration_since(BootInstant::now());
-                left.is_some_and(|left| left < until_end)
+                left.is_some_and(|left| left + ANSWER_MARGIN < until_end)
             }
             Self::Stopping => false,
         }
     }
 }
+
+/// Progress of a node's planned stop, which its handlers share.
+#[derive(Debug, Default)]
+pub struct StopProgress {
+    stage: Cell<NodeStage>,
+}
+
+impl StopProgress {
+    /// Returns the current stage.
+    pub fn stage(&self) -> NodeStage {
+        self.stage.get()
+    }
+
+    /// Enters another stage.
+    pub fn set_stage(&self, stage: NodeStage) {
+        self.stage.set(stage);
+    }
+}
