A call that outlasts a planned stop is answered at its end

A call that was taken early in a stop with a time limit, and whose server had not answered at its end, was cut: its caller did not learn whether it may have run.

Cause: the end of the stop drops the connections, whatever runs on them.

Change: 50 ms before the end, calls whose answer has not begun are ended with the reason "stopping": as may-have-run if they were passed on, else as not-run. Servers may answer until then, since the calls at work get nearly all of the time. An answer that has begun breaks off, and does not look whole.

--- a/crates/cli/tests/calls/planned_stop.rs
+++ b/crates/cli/tests/calls/planned_stop.rs
@@ -216,6 +216,34 @@
     });
 }
 
+// Guards against a call that the end of a stop cuts without an answer, so that its caller
+// does not learn whether it may have run.
+#[test]
+fn a_call_that_outlasts_a_stop_is_answered() {
+    actix_rt::System::new().block_on(async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (_fleet, leaving, _server) = fleet_with_silent_server(folder.path()).await;
+        let node = leaving.node.callers();
+        let call = actix_rt::spawn(async move {
+            let call = CallRequest {
+                path: "/tested/sale",
+                deadline_ms: Some(10_000),
+                ..CallRequest::default()
+            };
+            call.send(node, b"a batch").await
+        });
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let began = Instant::now();
+        let whole = leaving.node.stop_within(STOP_TIME).await;
+        let took = began.elapsed();
+        let answer = call.await.expect("it ends").expect("a whole answer");
+        assert_eq!(answer.verdict, "may-have-run");
+        assert_eq!((answer.status, &*answer.reason), (502, "stopping"));
+        assert!(whole, "the stop cut a call");
+        assert!(took > STOP_TIME * 9 / 10, "given up after {took:?}");
+    });
+}
+
 // An idle backend server crashes. The first call that cannot connect must get the
 // verdict not-run, and the directory must stop offering the server well before
 // its lease expires.
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -1,6 +1,7 @@
 //! Entry side of a node: handles callers' requests, sends each to a server's
 //! node and returns the response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -134,13 +135,17 @@
     }
 }
 
+/// Verdict of a call in progress, for the case that it is ended.
+type SharedVerdict = Rc<Cell<CallVerdict>>;
+
 fn not_run(reason: RefusalReason) -> CallRefusal {
     CallRefusal::new(reason, CallVerdict::NotRun)
 }
 
 impl EntryProxy {
     /// Handles a call with all of its attempts and returns the reply. The call
-    /// is refused if the node does not accept it at this point of a stop.
+    /// is refused if the node does not accept it at this point of a stop, and ends
+    /// with the calls in flight.
     pub async fn serve(
         self: &Rc<Self>,
         request: Request,
@@ -153,7 +158,16 @@
         let header = &self.dialect.deadline_ms;
         let deadline = call_headers::deadline_in(request.headers(), header);
         let deadline = deadline.ok().flatten();
-        match self.handle_call(request, &id, origin, progress).await {
+        let verdict = Rc::new(Cell::new(CallVerdict::NotRun));
+        let handling = self.handle_call(request, &id, origin, progress, &verdict);
+        let handled = tokio::select! {
+            biased;
+            handled = handling => handled,
+            () = progress.calls_ended() => {
+                Err(CallRefusal::new(RefusalReason::Stopping, verdict.get()))
+            }
+        };
+        match handled {
             Ok(reply) => {
                 self.metrics.answered();
                 reply
@@ -179,6 +193,7 @@
         id: &LoggedId,
         origin: CallOrigin,
         progress: &StopProgress,
+        verdict: &SharedVerdict,
     ) -> Result<HttpReply, CallRefusal> {
         let arrived = BootInstant::now();
         let header = &self.dialect.deadline_ms;
@@ -226,15 +241,17 @@
             Err(refusal) => return self.refuse(call, refusal).await,
         };
         let Some(call) = call else {
-            return self.run(id, planned, &parts, &mut body).await;
+            return self.run(id, planned, &parts, &mut body, verdict).await;
         };
         let proxy = Rc::clone(self);
+        let verdict = Rc::clone(verdict);
+        verdict.set(CallVerdict::MayHaveRun);
         // The task continues if the caller disconnects, so that a resend finds
         // the stored answer rather than a claim with an unknown outcome.
         let id = id.clone();
         let running = actix_rt::spawn(async move {
             proxy
-                .run_claimed(&id, call, planned, &parts, &mut body)
+                .run_claimed(&id, call, planned, &parts, &mut body, &verdict)
                 .await
         });
         running.await.unwrap_or(Err(CallRefusal::new(
@@ -292,6 +309,7 @@
         planned: PlannedTry,
         parts: &CallParts,
         body: &mut CallBody,
+        verdict: &SharedVerdict,
     ) -> Result<HttpReply, CallRefusal> {
         let claim = match self.claims.open(call).await {
             Ok(claim) => claim,
@@ -304,7 +322,7 @@
                 };
             }
         };
-        let running = self.run(id, planned, parts, body);
+        let running = self.run(id, planned, parts, body, verdict);
         match actix_rt::time::timeout(KEYED_DEADLINE_MAX, running).await {
             Ok(Ok(reply)) => keyed_call::store_answer(&self.claims, claim, reply).await,
             Ok(Err(refusal)) => {
@@ -326,6 +344,7 @@
         mut planned: PlannedTry,
         parts: &CallParts,
         body: &mut CallBody,
+        verdict: &SharedVerdict,
     ) -> Result<HttpReply, CallRefusal> {
         // A server's error response while the call is retried elsewhere. The
         // caller gets it unchanged if no further attempt is possible.
@@ -333,6 +352,7 @@
         loop {
             let mut guard = TryGuard::new(self.entry.clone(), &planned);
             let started = BootInstant::now();
+            verdict.set(verdict.get().max(CallVerdict::MayHaveRun));
             let tried = self.attempt(&mut planned, parts, body).await;
             self.record_evidence(&planned, started.elapsed(), &tried)
                 .await;
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -77,6 +77,10 @@
 /// callers after the backend server has finished its work.
 const RESPONSE_FLUSH_TIME: Duration = Duration::from_millis(200);
 
+/// Part of a bounded stop that is left for the answers of calls that are ended by it.
+/// Short, because the backend server may answer them until then.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(50);
+
 /// Listening sockets of a node, bound before it starts.
 pub struct NodeSockets {
     callers: TcpListener,
@@ -423,6 +427,12 @@
         actix_rt::time::sleep(self.drain_notice).await;
         let _ = self.gate.send(GateMessage::Stop);
         self.progress.set_stage(NodeStage::Ending(end));
+        let progress = Rc::clone(&self.progress);
+        let until_calls_end = left().saturating_sub(LAST_ANSWERS_TIME);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(until_calls_end).await;
+            progress.end_calls();
+        });
         // The peer listener closes before the callers' listener: the backend
         // server's work for other nodes may need outbound calls, which arrive
         // on the callers' listener.
--- a/crates/node/src/node_stage.rs
+++ b/crates/node/src/node_stage.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use cowslip_wire::boot_instant::BootInstant;
 
 /// Time that is reserved for the answer of an accepted call, between its deadline and
@@ -49,6 +51,8 @@
 #[derive(Debug, Default)]
 pub struct StopProgress {
     stage: Cell<NodeStage>,
+    calls_ended: Cell<bool>,
+    on_calls_ended: Notify,
 }
 
 impl StopProgress {
@@ -61,4 +65,18 @@
     pub fn set_stage(&self, stage: NodeStage) {
         self.stage.set(stage);
     }
+
+    /// Ends the calls in flight, because the process is about to end.
+    pub fn end_calls(&self) {
+        self.calls_ended.set(true);
+        self.on_calls_ended.notify_waiters();
+    }
+
+    /// Completes when the calls in flight have no time left.
+    pub async fn calls_ended(&self) {
+        let ended = self.on_calls_ended.notified();
+        if !self.calls_ended.get() {
+            ended.await;
+        }
+    }
 }
