A report with an impossible number does not replace a backend server

One entry of another writer, with a number that is too large, stopped a node: in a debug build its gate ended with an overflow, and with it all calls to its server; in a release build the start of a run that lies far ahead made every later report of the true server out of date, so that its node no longer followed it.

Cause: any number that fits the field was taken: a start in the year 128,000 or at the end of its range, in a report or in the last one of a run, and 4,294,967,295 slots.

Change: a start more than an hour ahead of the wall clock, and more than 100,000 slots, name no server, in reports as in announcements: 400, and what is known stays. The sum that overflowed saturates.

--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -57,6 +57,17 @@
     pub slots: u32,
 }
 
+/// Most slots that a backend server may announce. A larger number is an error of
+/// whoever announced it, and would let any number of calls reach the server at once.
+pub const SLOTS_MAX: u32 = 100_000;
+
+impl AnnouncedServer {
+    /// Returns whether a server can have this many slots.
+    pub fn has_possible_slots(&self) -> bool {
+        (1..=SLOTS_MAX).contains(&self.slots)
+    }
+}
+
 /// A call that requests a slot, as described by its entry node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OfferedCall {
--- a/crates/core/src/server_runs.rs
+++ b/crates/core/src/server_runs.rs
@@ -15,6 +15,17 @@
 /// discovered or deregistered.
 const START_UNKNOWN: u64 = 0;
 
+/// How far a run's start may lie ahead of the wall clock here, in milliseconds: far more
+/// than such clocks differ or are stepped.
+const START_AHEAD_MAX_MS: u64 = 60 * 60 * 1_000;
+
+/// Returns whether a run may have started at `started_ms` if it is now `now_ms`, both
+/// in milliseconds since the Unix epoch. A run with a later start than is possible
+/// would make the reports of all true ones out of date.
+pub fn is_possible_start(started_ms: u64, now_ms: u64) -> bool {
+    started_ms <= now_ms.saturating_add(START_AHEAD_MAX_MS)
+}
+
 /// A server's report about its present run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunReport {
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -339,7 +339,7 @@
                     ..
                 } = report;
                 // Both times are of the wall clock of this machine.
-                if run_started_ms + RESTART_TIME_MIN_MS > self.started_ms {
+                if run_started_ms.saturating_add(RESTART_TIME_MIN_MS) > self.started_ms {
                     self.gate.cold_mut().record_later_start();
                 }
                 self.begin_run(now, &run, server, address, cold_remaining);
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -16,6 +16,7 @@
 
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::server_gate::AnnouncedServer;
+use cowslip_core::server_gate::SLOTS_MAX;
 use cowslip_core::server_presence::PresenceRefusal;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::ReplyFuture;
@@ -120,11 +121,8 @@
             return http_reply::text(StatusCode::BAD_REQUEST, error.to_string())
         }
     };
-    if announcement.slots == 0
-        || announcement.service.is_empty()
-        || announcement.version.is_empty()
-    {
-        let problem = "service, version and at least one slot are needed";
+    if announcement.service.is_empty() || announcement.version.is_empty() {
+        let problem = "service and version are needed";
         return http_reply::text(StatusCode::BAD_REQUEST, problem);
     }
     let server = AnnouncedServer {
@@ -132,6 +130,10 @@
         version: announcement.version,
         slots: announcement.slots,
     };
+    if !server.has_possible_slots() {
+        let problem = format!("a server has 1 to {SLOTS_MAX} slots");
+        return http_reply::text(StatusCode::BAD_REQUEST, problem);
+    }
     let (reply, answer) = oneshot::channel();
     let announcement = ServerAnnouncement {
         run: announcement.run,
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -16,6 +16,7 @@
 
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::entry_router::EntryRouter;
+use cowslip_core::server_runs::is_possible_start;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::admin_handler::AdminHandler;
 use cowslip_wire::admin_handler::ADMIN_CONNECTIONS_MAX;
@@ -24,6 +25,7 @@
 use cowslip_wire::http_listener::HttpListener;
 use cowslip_wire::http_listener::ListenerTimeouts;
 use cowslip_wire::peer_client::PeerClient;
+use cowslip_wire::wall_clock;
 
 use crate::call_dialect::CallDialect;
 use crate::call_log::CallLog;
@@ -145,17 +147,26 @@
 }
 
 impl ServerReporter {
-    /// Sends a report and waits until the gate has applied it.
-    pub async fn report(&self, report: ServerReport) {
+    /// Sends a report and waits until the gate has applied it. Returns false if no
+    /// server can have made it.
+    pub async fn report(&self, report: ServerReport) -> bool {
+        let possible = is_possible_start(report.run.started_ms, wall_clock::millis());
+        if !possible || !report.server.has_possible_slots() {
+            return false;
+        }
         let (reply, done) = oneshot::channel();
         // The gate task ends only with the node.
         let _ = self.gate.send(GateMessage::Report(report, reply));
         let _ = done.await;
+        true
     }
 
     /// Reports that the run takes no more work, and waits until the gate has
-    /// applied it. `started_ms` is the start of the run, if known.
+    /// applied it. `started_ms` is the start of the run, if known; a start that is
+    /// not possible counts as unknown.
     pub async fn deregister_run(&self, run: Arc<str>, started_ms: Option<u64>) {
+        let now_ms = wall_clock::millis();
+        let started_ms = started_ms.filter(|started| is_possible_start(*started, now_ms));
         let (reply, done) = oneshot::channel();
         // The gate task ends only with the node.
         let _ = self
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -78,6 +78,25 @@
     }
 }
 
+// Guards against a process that ends because a message is nested more deeply than its
+// stack allows.
+#[test]
+fn deeply_nested_messages_fail() {
+    // An array of one element, a map of one entry, and their forms in JSON.
+    for (open, times) in [
+        (&b"\x91"[..], 1_000_000),
+        (b"\x81\xa1a", 1_000_000),
+        (b"[", 1_000_000),
+        (b"{\"a\":", 1_000_000),
+    ] {
+        decode_all(&open.repeat(times));
+        // As the first field of a known message.
+        let mut message = b"\x81\xa7version".to_vec();
+        message.extend(open.repeat(times));
+        decode_all(&message);
+    }
+}
+
 proptest! {
     // Guards against a panic on arbitrary bytes, which anyone who can connect to
     // a listener can send. A panic would end all calls in flight on the node.
