A server's stated idle time has no end that overflows

A valid answer with "Keep-Alive: timeout=" got its caller a 502.

Cause: the instant at which its connection expires overflowed, and the panic ended the handling of the call.

Evidence, on the code before: an_impossible_number_in_a_field_is_ignored got 502 and "overflow when adding durations". Change: the sum of an instant and a time saturates, wherever it is formed.

--- a/crates/wire/src/boot_instant.rs
+++ b/crates/wire/src/boot_instant.rs
@@ -40,6 +40,7 @@
     type Output = Self;
 
     fn add(self, time: Duration) -> Self {
-        Self(self.0 + time)
+        // Some times are sums of what other processes state.
+        Self(self.0.saturating_add(time))
     }
 }
