Readers of peers' headers and announced servers get modules of their own

entry_handler.rs and server_gate.rs had grown; no change of behaviour. A body that breaks off is logged as answer-broken, with its server and the fault.

--- a/crates/cli/tests/calls/stated_limits.rs
+++ b/crates/cli/tests/calls/stated_limits.rs
@@ -2,6 +2,7 @@
 //! or that they are leaving.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,7 +51,8 @@
     stopped: Rc<Cell<bool>>,
     callers: Vec<actix_rt::task::JoinHandle<()>>,
     answered: Rc<Cell<u32>>,
-    other: Rc<Cell<u32>>,
+    /// What came in place of an answer of a server.
+    other: Rc<RefCell<Vec<String>>>,
 }
 
 impl CallStream {
@@ -86,23 +88,24 @@
                     ..CallRequest::default()
                 };
                 let answer = call.send(entry, b"").await;
-                let count = match answer {
-                    Some(answer) if answer.status == 200 => &answered,
-                    _ => &other,
-                };
-                count.set(count.get() + 1);
+                match answer {
+                    Some(answer) if answer.status == 200 => {
+                        answered.set(answered.get() + 1);
+                    }
+                    other_answer => other.borrow_mut().push(format!("{other_answer:?}")),
+                }
                 actix_rt::time::sleep(CALL_INTERVAL).await;
             }
         }
     }
 
-    /// Ends the calls; returns how many were answered and how many were not.
-    async fn stop(self) -> (u32, u32) {
+    /// Ends the calls; returns how many were answered, and what came for the others.
+    async fn stop(self) -> (u32, Vec<String>) {
         self.stopped.set(true);
         for caller in self.callers {
             caller.await.expect("a caller ends");
         }
-        (self.answered.get(), self.other.get())
+        (self.answered.get(), self.other.take())
     }
 }
 
@@ -172,7 +175,7 @@
             "{}",
             later_arrivals.len()
         );
-        assert_eq!(other, 0, "of {answered}");
+        assert!(other.is_empty(), "{other:?} of {answered}");
     });
 }
 
@@ -194,7 +197,7 @@
         let late_arrivals = arrivals_since(leaving, drained);
         let (answered, other) = calls.stop().await;
         assert_eq!(late_arrivals.len(), 0);
-        assert_eq!(other, 0, "of {answered}");
+        assert!(other.is_empty(), "{other:?} of {answered}");
     });
 }
 
--- a/crates/core/benches/load_decisions.rs
+++ b/crates/core/benches/load_decisions.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -28,7 +29,6 @@
 use cowslip_core::entry_router::TryReport;
 use cowslip_core::load::customer_throttle::CustomerThrottle;
 use cowslip_core::load::repeat_probability::RepeatProbability;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
 use cowslip_core::server_gate::ServerGate;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! these state machines in one thread.
 
 pub mod agreement;
+pub mod announced_server;
 pub mod applied_versions;
 pub mod call_fingerprint;
 pub mod call_try;
--- a/crates/core/src/server_gate.rs
+++ b/crates/core/src/server_gate.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::announced_server::AnnouncedServer;
 use crate::document::CallPriority;
 use crate::load::call_queue::CallTicket;
 use crate::load::call_queue::JobLength;
@@ -46,28 +47,6 @@
 /// becomes free within that time.
 const MIN_SLACK_DIVISOR: u32 = 8;
 
-/// A backend server's description of itself in its announcement.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AnnouncedServer {
-    /// Service that the server belongs to.
-    pub service: Arc<str>,
-    /// Backend server version that it runs.
-    pub version: Arc<str>,
-    /// Requests that it can run concurrently.
-    pub slots: u32,
-}
-
-/// Most slots that a backend server may announce. A larger number is an error of
-/// whoever announced it, and would let any number of calls reach the server at once.
-pub const SLOTS_MAX: u32 = 100_000;
-
-impl AnnouncedServer {
-    /// Returns whether a server can have this many slots.
-    pub fn has_possible_slots(&self) -> bool {
-        (1..=SLOTS_MAX).contains(&self.slots)
-    }
-}
-
 /// A call that requests a slot, as described by its entry node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OfferedCall {
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -6,6 +6,7 @@
 
 use proptest::prelude::*;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::document::CallPriority;
 use cowslip_core::document::ColdStartSpec;
 use cowslip_core::load::cold_limit::ColdLimit;
@@ -13,7 +14,6 @@
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::load::send_window::SendWindow;
 use cowslip_core::load::send_window::WINDOW;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -8,6 +8,7 @@
 
 use proptest::prelude::*;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
@@ -35,7 +36,6 @@
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::refusal::RetryReason;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
--- a/crates/core/tests/free_slots.rs
+++ b/crates/core/tests/free_slots.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::call_try::ServerTry;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -20,7 +21,6 @@
 use cowslip_core::load::server_pool::ServerPool;
 use cowslip_core::load::server_pool::SlotSearch;
 use cowslip_core::refusal::RefusalReason;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
--- a/crates/core/tests/gate_chain.rs
+++ b/crates/core/tests/gate_chain.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::document::CallPriority;
 use cowslip_core::load::repeat_probability::RepeatProbability;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
--- a/crates/core/tests/load_patterns/fake_fleet.rs
+++ b/crates/core/tests/load_patterns/fake_fleet.rs
@@ -13,6 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::control_state::ConfigSnapshot;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -33,7 +34,6 @@
 use cowslip_core::load::retry_delay;
 use cowslip_core::load::retry_delay::CallerTime;
 use cowslip_core::refusal::RefusalReason;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
--- a/crates/core/tests/stated_limit.rs
+++ b/crates/core/tests/stated_limit.rs
@@ -6,10 +6,10 @@
 
 use proptest::prelude::*;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::document::CallPriority;
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::refusal::RefusalReason;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
--- a/crates/node/src/entry_handler.rs
+++ b/crates/node/src/entry_handler.rs
@@ -21,12 +21,10 @@
 use cowslip_core::entry_router::TryFailure;
 use cowslip_core::load::deadline_budget;
 use cowslip_core::load::repeat_probability::RepeatProbability;
-use cowslip_core::load::server_load::ReportedLoad;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::rollout::evidence::MeasuredTry;
 use cowslip_core::rollout::evidence::TryOutcome;
 use cowslip_core::rollout::node_guard::EndedTry;
-use cowslip_core::server_notice::ServerNotice;
 use cowslip_core::verdict::CallVerdict;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::access_key::KEY_HEADER;
@@ -64,8 +62,12 @@
 use crate::quarantine_list::QuarantineList;
 use crate::refusal_reply::refusal_reply;
 
+use self::peer_response::refused_by_peer;
+use self::peer_response::reported_load;
+use self::peer_response::server_notice;
 use self::try_guard::TryGuard;
 
+mod peer_response;
 mod try_guard;
 
 /// Bytes of a response that are buffered before any is forwarded. Lookups
@@ -612,37 +614,3 @@
     http_reply::set_header(&mut reply, call_headers::VERDICT, verdict);
     reply
 }
-
-/// Returns the load that the server's node reports in the response's headers.
-fn reported_load(response: &HopResponse) -> Option<ReportedLoad> {
-    Some(ReportedLoad {
-        wait: header_millis(response, call_headers::WAIT_MS)?,
-        work: header_millis(response, call_headers::WORK_MS),
-    })
-}
-
-/// Returns what the backend server stated in its answer, if its node says so.
-fn server_notice(response: &HopResponse) -> Option<ServerNotice> {
-    let value = response.head.headers().get(call_headers::NOTICE)?;
-    ServerNotice::parse(value.to_str().ok()?)
-}
-
-/// Returns a header's value, in milliseconds, as a duration.
-fn header_millis(response: &HopResponse, name: &str) -> Option<Duration> {
-    let value = response.head.headers().get(name)?;
-    let millis = value.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_millis(millis))
-}
-
-/// Returns the failure that the server's node reports if the backend server
-/// did not answer.
-fn refused_by_peer(response: &HopResponse) -> Option<TryFailure> {
-    let text = |name: &str| response.head.headers().get(name)?.to_str().ok();
-    let verdict = CallVerdict::parse(text(call_headers::VERDICT)?)?;
-    if verdict == CallVerdict::Ran {
-        return None;
-    }
-    let reason = text(call_headers::REASON).and_then(RefusalReason::parse);
-    let reason = reason.unwrap_or(RefusalReason::ConnectionBroken);
-    Some(TryFailure { verdict, reason })
-}
--- a/crates/node/src/entry_handler/try_guard.rs
+++ b/crates/node/src/entry_handler/try_guard.rs
@@ -19,8 +19,8 @@
 use crate::hop::HopResponse;
 
 use super::ended_try;
-use super::reported_load;
-use super::server_notice;
+use super::peer_response::reported_load;
+use super::peer_response::server_notice;
 
 /// Reports the end of an attempt to the entry task on drop, so that every
 /// path out of a call reports it.
--- a/crates/node/src/gate_messages.rs
+++ b/crates/node/src/gate_messages.rs
@@ -11,12 +11,12 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::call_fingerprint::CallFingerprint;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::load::call_queue::CallTicket;
 use cowslip_core::load::repeat_probability::RepeatProbability;
 use cowslip_core::refusal::RefusalReason;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::OfferedCall;
 use cowslip_core::server_gate::QueueBounds;
 use cowslip_core::server_gate::SlotOutcome;
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
@@ -18,7 +19,6 @@
 use cowslip_core::load::call_queue::CallTicket;
 use cowslip_core::refusal::RefusalReason;
 use cowslip_core::rollout::cold_start::ColdStart;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_core::server_gate::GateAction;
 use cowslip_core::server_gate::ServerGate;
 use cowslip_core::server_presence::PresenceRefusal;
--- a/crates/node/src/hop/response_body.rs
+++ b/crates/node/src/hop/response_body.rs
@@ -5,6 +5,9 @@
 use actix_http::error::PayloadError;
 use bytes::Bytes;
 use bytes::BytesMut;
+use log::info;
+
+use cowslip_wire::process_log::LogValue;
 
 use crate::hop::hop_connection::HopConnection;
 use crate::hop::idle_pool::IdlePool;
@@ -42,7 +45,13 @@
             return part;
         }
         if let Some(mut connection) = self.connection.take() {
-            if part.is_ok() && connection.is_reusable() {
+            if let Err(error) = &part {
+                info!(
+                    "event=answer-broken process=node from={} error={}",
+                    connection.address(),
+                    LogValue(error)
+                );
+            } else if connection.is_reusable() {
                 connection.release_buffer();
                 self.idle_pool.put(connection);
             }
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -14,9 +14,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use cowslip_core::announced_server::AnnouncedServer;
+use cowslip_core::announced_server::SLOTS_MAX;
 use cowslip_core::entry_router::CallOrigin;
-use cowslip_core::server_gate::AnnouncedServer;
-use cowslip_core::server_gate::SLOTS_MAX;
 use cowslip_core::server_presence::PresenceRefusal;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::ReplyFuture;
--- a/crates/node/src/server_check.rs
+++ b/crates/node/src/server_check.rs
@@ -21,8 +21,8 @@
 use log::info;
 use tokio::sync::mpsc;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::document::FleetDocument;
-use cowslip_core::server_gate::AnnouncedServer;
 
 use crate::call_dialect::CallDialect;
 use crate::call_forward::CallBody;
--- a/crates/node/tests/server_crashes.rs
+++ b/crates/node/tests/server_crashes.rs
@@ -11,9 +11,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
-use cowslip_core::server_gate::AnnouncedServer;
 use cowslip_node::crash_task::ServerCrash;
 use cowslip_node::gate_messages::GateEndpoint;
 use cowslip_node::gate_messages::GateMessage;
--- a/crates/node/tests/server_queue.rs
+++ b/crates/node/tests/server_queue.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::Semaphore;
 
-use cowslip_core::server_gate::AnnouncedServer;
+use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::server_gate::QueueBounds;
 use cowslip_core::version::ConfigVersion;
 use cowslip_node::call_headers;
