Deeply nested messages do not overflow the stack

A message between processes that is nested deeply could end the process that read it.

Cause: the library bounds the nesting to 1,024 levels, which take more than the 2 MB of a thread's stack where frames are large.

All in debug builds; a release build was not tried.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agreement;
 pub mod announced_server;
 pub mod applied_versions;
+pub mod bounded_decode;
 pub mod call_fingerprint;
 pub mod call_try;
 pub mod catch_up_window;
--- a/crates/core/src/snapshot_chunks.rs
+++ b/crates/core/src/snapshot_chunks.rs
@@ -23,6 +23,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::bounded_decode;
 use crate::config_digest::ConfigDigest;
 use crate::control_state::ConfigSnapshot;
 use crate::version::ConfigVersion;
@@ -187,7 +188,7 @@
     /// its version and digest.
     pub fn finish(&self) -> Result<ConfigSnapshot, ChunkError> {
         let whole = self.unpacked()?;
-        let decoded: Result<ConfigSnapshot, _> = rmp_serde::from_slice(&whole);
+        let decoded: Result<ConfigSnapshot, _> = bounded_decode::from_slice(&whole);
         let snapshot = decoded.map_err(|e| ChunkError::Undecodable(e.to_string()))?;
         let digest = ConfigDigest::of_document(&snapshot.document);
         if snapshot.version != self.header.version || digest != self.header.digest {
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -17,6 +17,7 @@
 use cowslip_node::local_handler::AnnounceBody;
 use cowslip_wire::claim_messages::ClaimCall;
 use cowslip_wire::codec::decode;
+use cowslip_wire::codec::decode_from;
 use cowslip_wire::codec::encode;
 use cowslip_wire::crash_messages::CrashCall;
 use cowslip_wire::evidence_messages::EvidenceCall;
@@ -94,6 +95,7 @@
         let mut message = b"\x81\xa7version".to_vec();
         message.extend(open.repeat(times));
         decode_all(&message);
+        let _ = decode_from::<FollowReply>(&message[..]);
     }
 }
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use cowslip_core::bounded_decode;
+
 /// Maximum size of a message, in bytes. A document of 440 services with ten
 /// routes each encodes to under 1 MB, which leaves a tenfold margin.
 pub const MESSAGE_BYTES_MAX: usize = 16 * 1024 * 1024;
@@ -33,7 +35,7 @@
 
 /// Decodes a message; never panics, whatever the bytes.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
-    Ok(rmp_serde::from_slice(bytes)?)
+    Ok(bounded_decode::from_slice(bytes)?)
 }
 
 /// Writes the encoding of `message`, as [`encode`] returns it, to `writer`.
@@ -46,5 +48,5 @@
 
 /// Decodes a message while it is read.
 pub fn decode_from<T: DeserializeOwned>(reader: impl Read) -> Result<T, CodecError> {
-    Ok(rmp_serde::from_read(reader)?)
+    Ok(bounded_decode::from_read(reader)?)
 }
