--- a/review/stand-ins-2/server.py
+++ b/review/stand-ins-2/server.py
@@ -1,5 +1,7 @@
 """A sound backend server: reports itself to the node beside it and runs requests. It
-drops a request when its connection closes.
+drops a request when its connection closes. At SIGTERM it says once that it leaves, reports
+no more, answers its health page with 503, states in its answers that it leaves, and serves
+on until it is killed.
 
 For each run it writes the lines `begin ID TIME` and `answered ID TIME` or `cut ID TIME`,
 with the time of the steady clock in seconds. `--large PREFIX` names the path prefix of
@@ -9,6 +11,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import time
 
 from fleet import read_body
@@ -25,6 +28,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
+        self.leaving = False
         self.runs = open(args.runs, "a", buffering=1)
 
     async def report(self):
@@ -45,12 +49,22 @@
                 pass
             await asyncio.sleep(REPORT_INTERVAL)
 
+    async def leave(self, reporting):
+        reporting.cancel()
+        self.leaving = True
+        path = "/v1/instances/" + self.args.id
+        fields = {"Content-Type": "application/json"}
+        encoded = json.dumps({"born": self.born}).encode()
+        status, _, _ = await request(self.args.reports, "DELETE", path, fields, encoded, 1)
+        self.log(f"left-{status}", self.args.id)
+
     async def serve(self, reader, writer):
         try:
             while True:
                 _, path, fields = await self.read_request(reader)
                 if path == "/health":
-                    writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.args.id}\r\n"
+                    status = "503 Service Unavailable" if self.leaving else "200 OK"
+                    writer.write(f"HTTP/1.1 {status}\r\nInstance-Id: {self.args.id}\r\n"
                                  "Content-Length: 0\r\n\r\n".encode())
                 else:
                     await self.answer(reader, writer, path, fields)
@@ -101,6 +115,8 @@
             if not await self.work(reader, path):
                 self.log("cut", request_id)
                 raise ConnectionError("the caller has left")
+            if self.leaving:
+                head += "Server-Leaving: 1\r\n"
             if self.args.large and path.startswith(self.args.large):
                 await self.send_large(writer, head)
             else:
@@ -136,7 +152,9 @@
     args = parser.parse_args()
     server = BackendServer(args)
     listening = await asyncio.start_server(server.serve, *split_address(args.address), backlog=200)
-    asyncio.ensure_future(server.report())
+    reporting = asyncio.ensure_future(server.report())
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, lambda: asyncio.ensure_future(server.leave(reporting)))
     await listening.serve_forever()
 
 
