--- a/review/stand-ins-2/fleet.py
+++ b/review/stand-ins-2/fleet.py
@@ -169,7 +169,7 @@
 
     def start_server(self, node, name, zone, service, version, address, args=()):
         runs = os.path.join(self.folder, f"runs-{name}")
-        command = [sys.executable, os.path.join(HERE, "server.py"), "--id", f"i-{name}"]
+        command = [sys.executable, "-B", os.path.join(HERE, "server.py"), "--id", f"i-{name}"]
         command += ["--address", address, "--reports", node.local, "--service", service]
         command += ["--zone", zone, "--version", version, "--runs", runs, *args]
         server = Process(self, f"server-{name}", command)
