The first report of a server that was found is no crash

Cause: a starting node finds its server by the health page, which does not tell the start of the run. That start was stored as 0, so that the first report, which states it, looked like another run, and the found one like crashed, with all calls in flight as suspects. Ruled out: real crashes (the servers' own record), probes that take a broken connection for a closed port (no server-lost beside server-crashed).

Change: the start of a run is stated, or known to be before the time at which the run was heard of. The report of a run that started before it was found confirms it; one that started later replaces it, which is a crash. A report that cannot be ordered is ignored once. A departure of a run that is not known is kept. The same on related paths: announcements with other slots than the assumed ones, a health check that ends after an announcement or a drain. server-crashed says what showed it.

--- a/crates/core/src/server_presence.rs
+++ b/crates/core/src/server_presence.rs
@@ -95,6 +95,11 @@
         self.unreachable = false;
     }
 
+    /// Whether the server is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining_since.is_some()
+    }
+
     /// Marks the node as stopping. Every later announcement and new run is
     /// refused.
     pub fn stop(&mut self) {
--- a/crates/core/src/server_runs.rs
+++ b/crates/core/src/server_runs.rs
@@ -7,13 +7,14 @@
 //! among reports a late one would bring back a leaving server, and calls sent
 //! to it would be cut off when it ends.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use crate::server_run::ServerRun;
 
-/// Start time of a run that has not reported one, because it was only
-/// discovered or deregistered.
-const START_UNKNOWN: u64 = 0;
+/// Largest number of departed runs that are kept, the latest ones. Late reports are
+/// those of the last few runs.
+const DEPARTED_MAX: usize = 16;
 
 /// How far a run's start may lie ahead of the wall clock here, in milliseconds: far more
 /// than such clocks differ or are stepped.
@@ -45,115 +46,226 @@
 pub enum ReportEffect {
     /// Ignored, because a later report has arrived or a newer run has begun.
     Stale,
-    /// First report of a run that takes work.
+    /// First report of a run that takes work. Nothing shows that another run has
+    /// ended without notice.
     Begins,
+    /// First report of a run that takes work and began after the latest known one,
+    /// which has ended without notice.
+    Replaces,
+    /// First report of the run that was found; it takes work.
+    Confirms,
     /// Further report of a run that takes work.
     Continues,
     /// The run takes no more work.
     Leaves,
 }
 
-/// The latest known run of a server.
+/// Start of a run. Server and node have the same wall clock, so the times of both
+/// can be compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunStart {
+    /// Stated by the run, in milliseconds since the Unix epoch.
+    Stated(u64),
+    /// Not known, but not later than this time, when the run was heard of.
+    Before(u64),
+}
+
+/// How the run of a report relates to the latest known one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunRelation {
+    Same,
+    Earlier,
+    Later,
+    /// Another run, of which it is not known whether it started earlier or later.
+    Unclear,
+}
+
+/// A run, as far as it is known.
+#[derive(Clone, Debug)]
+struct RunIdentity {
+    name: Arc<str>,
+    start: RunStart,
+}
+
+impl RunIdentity {
+    fn relation(&self, report: &RunReport) -> RunRelation {
+        match self.start {
+            RunStart::Stated(started_ms) if report.started_ms < started_ms => {
+                RunRelation::Earlier
+            }
+            RunStart::Stated(started_ms) if report.started_ms > started_ms => {
+                RunRelation::Later
+            }
+            RunStart::Before(heard_ms) if report.started_ms > heard_ms => {
+                RunRelation::Later
+            }
+            _ if self.name == report.run => RunRelation::Same,
+            RunStart::Stated(_) => RunRelation::Later,
+            RunStart::Before(_) => RunRelation::Unclear,
+        }
+    }
+
+    /// Whether this may be the run of this name that started at `started_ms`; `None`
+    /// is any time.
+    fn may_be(&self, name: &str, started_ms: Option<u64>) -> bool {
+        let may_have_started = |started_ms| match self.start {
+            RunStart::Stated(stated_ms) => stated_ms == started_ms,
+            RunStart::Before(heard_ms) => started_ms <= heard_ms,
+        };
+        *self.name == *name && started_ms.is_none_or(may_have_started)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct LatestRun {
+    identity: RunIdentity,
+    sequence: u64,
+    leaving: bool,
+}
+
+/// The latest known run of a server, and runs that have departed.
 #[derive(Clone, Debug, Default)]
 pub struct ServerRuns {
-    latest: Option<RunReport>,
+    latest: Option<LatestRun>,
+    departed: VecDeque<RunIdentity>,
+    /// Run whose first report could not be ordered, and was ignored.
+    ignored: Option<ServerRun>,
 }
 
 impl ServerRuns {
     /// Applies a report and returns its effect.
-    pub fn apply(&mut self, report: RunReport) -> ReportEffect {
+    pub fn apply(&mut self, mut report: RunReport) -> ReportEffect {
+        let departed = self.has_departed(&report.run, Some(report.started_ms));
+        report.leaving |= departed;
         let Some(latest) = &mut self.latest else {
-            return self.begin(report);
+            return self.begin(report, ReportEffect::Begins);
         };
-        // A delayed report may arrive after the deregistration of a run that
-        // was only discovered. If it counted as the first report of another
-        // run, calls would be sent to a server that is ending.
-        if latest.started_ms == START_UNKNOWN
-            && latest.leaving
-            && latest.run == report.run
-        {
-            latest.started_ms = report.started_ms;
-        }
-        let same_run = latest.run == report.run && latest.started_ms == report.started_ms;
-        if !same_run {
+        match latest.identity.relation(&report) {
+            RunRelation::Same => {}
             // A run that has crashed in the meantime: the slots and the version
             // in its report are out of date.
-            if report.started_ms < latest.started_ms {
-                return ReportEffect::Stale;
+            RunRelation::Earlier => return ReportEffect::Stale,
+            RunRelation::Later if latest.leaving => {
+                return self.begin(report, ReportEffect::Begins);
             }
-            return self.begin(report);
+            RunRelation::Later => return self.begin(report, ReportEffect::Replaces),
+            RunRelation::Unclear if departed => return ReportEffect::Stale,
+            RunRelation::Unclear => return self.apply_unclear(report),
         }
-        if report.sequence <= latest.sequence && !report.leaving {
+        let stated = RunStart::Stated(report.started_ms);
+        let confirms = latest.identity.start != stated;
+        if !confirms && report.sequence <= latest.sequence && !report.leaving {
             return ReportEffect::Stale;
         }
+        latest.identity.start = stated;
         latest.sequence = latest.sequence.max(report.sequence);
         // Once a run has reported that it is leaving, it never takes work again.
         if latest.leaving || report.leaving {
             latest.leaving = true;
             return ReportEffect::Leaves;
         }
-        ReportEffect::Continues
+        if confirms {
+            ReportEffect::Confirms
+        } else {
+            ReportEffect::Continues
+        }
+    }
+
+    /// Applies a report of another run than the one that was found. A late report of
+    /// a run that has ended comes once; a run that goes on reports again.
+    fn apply_unclear(&mut self, report: RunReport) -> ReportEffect {
+        let leaving = self.latest.as_ref().is_some_and(|latest| latest.leaving);
+        let run = ServerRun {
+            name: Arc::clone(&report.run),
+            started_ms: Some(report.started_ms),
+        };
+        if leaving || report.leaving || self.ignored.as_ref() == Some(&run) {
+            return self.begin(report, ReportEffect::Begins);
+        }
+        self.ignored = Some(run);
+        ReportEffect::Stale
     }
 
-    /// Marks the run of this name as leaving. `started_ms` is its start time, if
-    /// known. Returns true if it was the latest known run before.
-    pub fn deregister(&mut self, run: &str, started_ms: Option<u64>) -> bool {
+    /// Records that the run of this name has departed: it never takes work again,
+    /// whatever arrives later. `started_ms` is its start time, if known, and `now_ms`
+    /// the wall clock. Returns true if it is the latest known run.
+    pub fn deregister(
+        &mut self,
+        run: &Arc<str>,
+        started_ms: Option<u64>,
+        now_ms: u64,
+    ) -> bool {
+        if !self.has_departed(run, started_ms) {
+            let start = started_ms.map_or(RunStart::Before(now_ms), RunStart::Stated);
+            let name = Arc::clone(run);
+            self.departed.push_back(RunIdentity { name, start });
+        }
+        if self.departed.len() > DEPARTED_MAX {
+            self.departed.pop_front();
+        }
         let Some(latest) = &mut self.latest else {
-            // Keeps a server whose deregistration was acknowledged from being
-            // discovered by its health page, or brought back by a delayed
-            // report.
-            self.latest = Some(RunReport {
-                run: run.into(),
-                started_ms: started_ms.unwrap_or(START_UNKNOWN),
-                sequence: 0,
-                leaving: true,
-            });
             return false;
         };
-        if *latest.run != *run {
+        let is_latest = latest.identity.may_be(run, started_ms);
+        latest.leaving |= is_latest;
+        is_latest
+    }
+
+    /// Records a run that was found at `now_ms` by the wall clock and has not reported
+    /// yet. Returns true if it takes work: no run was known, and none of this name has
+    /// departed.
+    pub fn discover(&mut self, run: &Arc<str>, now_ms: u64) -> bool {
+        if self.latest.is_some() || self.has_departed(run, None) {
             return false;
         }
-        if latest.started_ms == START_UNKNOWN {
-            latest.started_ms = started_ms.unwrap_or(START_UNKNOWN);
-        }
-        let same_run = started_ms.is_none_or(|started| started == latest.started_ms);
-        latest.leaving |= same_run;
-        same_run
+        self.latest = Some(LatestRun {
+            identity: RunIdentity {
+                name: Arc::clone(run),
+                start: RunStart::Before(now_ms),
+            },
+            sequence: 0,
+            leaving: false,
+        });
+        true
     }
 
-    /// Records a run that was discovered before it reported. Returns true if no
-    /// run was known. The first report of the run still has the effect
-    /// [`ReportEffect::Begins`], because it contains more than the discovery.
-    pub fn discover(&mut self, run: &Arc<str>) -> bool {
-        let first = self.latest.is_none();
-        if first {
-            self.latest = Some(RunReport {
-                run: Arc::clone(run),
-                started_ms: START_UNKNOWN,
-                sequence: 0,
-                leaving: false,
-            });
-        }
-        first
+    /// Forgets which run is the latest, but not which have departed. Returns true if
+    /// there was one.
+    pub fn forget_latest(&mut self) -> bool {
+        self.latest.take().is_some()
     }
 
     /// The latest known run, with its start time if that is known.
     pub fn server_run(&self) -> Option<ServerRun> {
         let latest = self.latest.as_ref()?;
-        let started_ms = latest.started_ms;
         Some(ServerRun {
-            name: Arc::clone(&latest.run),
-            started_ms: (started_ms != START_UNKNOWN).then_some(started_ms),
+            name: Arc::clone(&latest.identity.name),
+            started_ms: match latest.identity.start {
+                RunStart::Stated(started_ms) => Some(started_ms),
+                RunStart::Before(_) => None,
+            },
         })
     }
 
-    fn begin(&mut self, report: RunReport) -> ReportEffect {
-        let leaving = report.leaving;
-        self.latest = Some(report);
-        if leaving {
+    fn has_departed(&self, run: &str, started_ms: Option<u64>) -> bool {
+        let mut departed = self.departed.iter();
+        departed.any(|identity| identity.may_be(run, started_ms))
+    }
+
+    fn begin(&mut self, report: RunReport, effect: ReportEffect) -> ReportEffect {
+        self.ignored = None;
+        self.latest = Some(LatestRun {
+            identity: RunIdentity {
+                name: report.run,
+                start: RunStart::Stated(report.started_ms),
+            },
+            sequence: report.sequence,
+            leaving: report.leaving,
+        });
+        if report.leaving {
             ReportEffect::Leaves
         } else {
-            ReportEffect::Begins
+            effect
         }
     }
 }
--- a/crates/node/src/crash_recorder.rs
+++ b/crates/node/src/crash_recorder.rs
@@ -11,7 +11,6 @@
 use cowslip_core::crash_suspects::CutCall;
 use cowslip_core::crash_suspects::SuspectCall;
 use cowslip_core::load::call_queue::CallTicket;
-use cowslip_core::load::cold_limit::ColdLimit;
 use cowslip_core::server_gate::SlotOutcome;
 use cowslip_wire::process_log::LogValue;
 
@@ -57,14 +56,8 @@
         self.suspects.begin_version();
     }
 
-    /// Logs a crash that was found at `now` and reports the calls that may have caused
-    /// it. `limit` is the one on calls to the server while it is cold, with this crash.
-    pub fn record_crash(&mut self, now: Duration, cold: bool, limit: &ColdLimit) {
-        info!(
-            "event=server-crashed process=node instance={} cold={cold} cold_crashes={}",
-            self.instance,
-            limit.crashes()
-        );
+    /// Reports a crash that was found at `now`, with the calls that may have caused it.
+    pub fn record_crash(&mut self, now: Duration, cold: bool) {
         let calls = self.suspects.crash(now);
         for cut in &calls {
             self.log_cut_call(cut);
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -179,24 +179,9 @@
                 self.report(now, report);
                 let _ = reply.send(());
             }
-            GateMessage::RunFound(found) => {
-                if self.runs.discover(&found.run) {
-                    let FoundRun {
-                        run,
-                        server,
-                        address,
-                        cold_remaining,
-                        statement,
-                    } = found;
-                    self.begin_run(now, &run, server, address, cold_remaining);
-                    // A health page without a statement says nothing about answers.
-                    if !statement.is_empty() {
-                        self.apply_statement(now, now, statement);
-                    }
-                }
-            }
+            GateMessage::RunFound(found) => self.begin_found(now, found),
             GateMessage::DeregisterRun(run, started_ms, reply) => {
-                if self.runs.deregister(&run, started_ms) {
+                if self.runs.deregister(&run, started_ms, wall_clock::millis()) {
                     self.presence.drain(now);
                     self.withdraw("left");
                 }
@@ -302,11 +287,17 @@
         if let Some(remaining) = cold_remaining {
             self.cold_start.report(now, remaining);
         }
-        let same_run = unchanged
-            && self.server == Some(address)
-            && self.gate.statements().run() == run.as_ref();
-        if !same_run && run.is_some() && may_have_crashed {
-            self.record_crash(now);
+        let current = self.gate.statements().run();
+        let same_run =
+            unchanged && self.server == Some(address) && current == run.as_ref();
+        let replaces = match (current, &run) {
+            (Some(current), Some(next)) => !current.may_be(next),
+            _ => false,
+        };
+        // An announcement may be older than what a health check found.
+        let was_found = self.runs.forget_latest();
+        if replaces && !was_found && may_have_crashed {
+            self.record_crash(now, "next-run");
         }
         if !same_run || self.gate.is_draining() {
             self.gate.cold_mut().begin_run(now, cold_remaining);
@@ -323,27 +314,28 @@
 
     fn report(&mut self, now: Duration, report: ServerReport) {
         let run = Arc::clone(&report.run.run);
-        let run_started_ms = report.run.started_ms;
-        match self.runs.apply(report.run) {
+        let effect = self.runs.apply(report.run.clone());
+        match effect {
             ReportEffect::Stale => {
                 info!(
                     "event=report-stale process=node instance={} run={run}",
                     self.endpoint.instance
                 );
             }
-            ReportEffect::Begins => {
+            ReportEffect::Begins | ReportEffect::Replaces => {
+                if effect == ReportEffect::Replaces && self.may_have_crashed() {
+                    self.record_crash(now, "next-run");
+                }
+                self.record_start(report.run.started_ms);
                 let ServerReport {
                     server,
                     address,
                     cold_remaining,
                     ..
                 } = report;
-                // Both times are of the wall clock of this machine.
-                if run_started_ms.saturating_add(RESTART_TIME_MIN_MS) > self.started_ms {
-                    self.gate.cold_mut().record_later_start();
-                }
                 self.begin_run(now, &run, server, address, cold_remaining);
             }
+            ReportEffect::Confirms => self.confirm_run(now, report),
             ReportEffect::Continues => {
                 if let Some(remaining) = report.cold_remaining {
                     self.gate.cold_mut().report(now, remaining);
@@ -360,6 +352,61 @@
         }
     }
 
+    /// Records when the run that has just reported started: one that started after
+    /// this process was sent nothing by an earlier one.
+    fn record_start(&mut self, run_started_ms: u64) {
+        // Both times are of the wall clock of this machine.
+        if run_started_ms.saturating_add(RESTART_TIME_MIN_MS) > self.started_ms {
+            self.gate.cold_mut().record_later_start();
+        }
+    }
+
+    /// Sends calls to a run that a health check found. Neither its start nor whether
+    /// another run has ended is known.
+    fn begin_found(&mut self, now: Duration, found: FoundRun) {
+        let FoundRun {
+            run,
+            server,
+            address,
+            cold_remaining,
+            statement,
+        } = found;
+        let awaited = self.gate.announced().is_none() && !self.presence.is_draining();
+        if !awaited || !self.runs.discover(&run, wall_clock::millis()) {
+            info!(
+                "event=found-run-ignored process=node instance={} run={run}",
+                self.endpoint.instance
+            );
+            return;
+        }
+        self.begin_run(now, &run, server, address, cold_remaining);
+        // A health page without a statement says nothing about answers.
+        if !statement.is_empty() {
+            self.apply_statement(now, now, statement);
+        }
+    }
+
+    /// Applies the first report of the run that was found: it is the same run, which
+    /// already gets calls, and the report says more about it.
+    fn confirm_run(&mut self, now: Duration, report: ServerReport) {
+        info!(
+            "event=run-confirmed process=node instance={} run={} started_ms={} version={} slots={}",
+            self.endpoint.instance,
+            report.run.run,
+            report.run.started_ms,
+            report.server.version,
+            report.server.slots
+        );
+        self.record_start(report.run.started_ms);
+        self.gate.statements_mut().begin_run(self.runs.server_run());
+        if let Some(remaining) = report.cold_remaining {
+            self.gate.cold_mut().begin_run(now, Some(remaining));
+            self.cold_start.report(now, remaining);
+        }
+        self.server = Some(report.address);
+        self.continue_run(report.server);
+    }
+
     fn begin_run(
         &mut self,
         now: Duration,
@@ -368,7 +415,6 @@
         address: SocketAddr,
         cold_remaining: Option<Duration>,
     ) {
-        let replaced = self.may_have_crashed();
         if let Err(refusal) = self.presence.begin_run(address) {
             info!(
                 "event=run-refused process=node instance={} run={run} reason={}",
@@ -387,9 +433,6 @@
             self.cold_start.report(now, remaining);
         }
         self.status.service_times.borrow_mut().clear();
-        if replaced {
-            self.record_crash(now);
-        }
         self.metrics.run_began();
         self.gate.cold_mut().begin_run(now, cold_remaining);
         self.gate.statements_mut().begin_run(self.runs.server_run());
@@ -492,7 +535,7 @@
         }
         if result == ProbeResult::Refused {
             if self.presence.mark_unreachable() {
-                self.record_crash(self.started.elapsed());
+                self.record_crash(self.started.elapsed(), "refused-connection");
                 self.withdraw("server-lost");
             }
             return;
@@ -513,13 +556,19 @@
         }
     }
 
-    /// Counts the end of a run that gave no notice. A cold server that crashes again
-    /// and again is probably sent more calls than it tolerates.
-    fn record_crash(&mut self, now: Duration) {
+    /// Counts the end of a run that gave no notice, as `shown_by` shows. A cold server
+    /// that crashes again and again is probably sent more calls than it tolerates.
+    fn record_crash(&mut self, now: Duration, shown_by: &str) {
         let cold = self.gate.cold().is_cold(now);
         self.metrics.crashed(cold);
         self.gate.cold_mut().record_crash(now);
-        self.crashes.record_crash(now, cold, self.gate.cold());
+        info!(
+            "event=server-crashed process=node instance={} run={} shown_by={shown_by} cold={cold} cold_crashes={}",
+            self.endpoint.instance,
+            self.gate.statements().run().map_or("-", |run| &*run.name),
+            self.gate.cold().crashes()
+        );
+        self.crashes.record_crash(now, cold);
     }
 
     /// Logs the start and the end of the time in which calls to the server are
--- a/crates/node/tests/server_crashes.rs
+++ b/crates/node/tests/server_crashes.rs
@@ -14,14 +14,19 @@
 use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
+use cowslip_core::server_runs::RunReport;
+use cowslip_core::server_statement::ServerStatement;
 use cowslip_node::crash_task::ServerCrash;
+use cowslip_node::gate_messages::FoundRun;
 use cowslip_node::gate_messages::GateEndpoint;
 use cowslip_node::gate_messages::GateMessage;
 use cowslip_node::gate_messages::GateOutputs;
 use cowslip_node::gate_messages::GateStatus;
 use cowslip_node::gate_messages::ServerAnnouncement;
+use cowslip_node::gate_messages::ServerReport;
 use cowslip_node::gate_metrics::GateMetrics;
 use cowslip_node::gate_task;
+use cowslip_wire::wall_clock;
 
 /// Time after which a condition counts as never met.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -62,11 +67,7 @@
     async fn announce(&self, address: SocketAddr, run: &str) {
         let announcement = ServerAnnouncement {
             run: Some(run.into()),
-            server: AnnouncedServer {
-                service: "records".into(),
-                version: "v1".into(),
-                slots: 6,
-            },
+            server: announced_server(),
             address,
             cold_remaining: None,
         };
@@ -77,6 +78,40 @@
         answer.expect("the announcement is accepted");
     }
 
+    /// Tells the gate that a health check found this run.
+    fn find(&self, address: SocketAddr, run: &str) {
+        let found = FoundRun {
+            run: run.into(),
+            server: AnnouncedServer {
+                slots: 4,
+                ..announced_server()
+            },
+            address,
+            cold_remaining: None,
+            statement: ServerStatement::default(),
+        };
+        let sent = self.gate.send(GateMessage::RunFound(found));
+        sent.expect("the gate runs");
+    }
+
+    async fn report(&self, address: SocketAddr, run: &str, started_ms: u64) {
+        let report = ServerReport {
+            run: RunReport {
+                run: run.into(),
+                started_ms,
+                sequence: 1,
+                leaving: false,
+            },
+            server: announced_server(),
+            address,
+            cold_remaining: None,
+        };
+        let (reply, done) = oneshot::channel();
+        let sent = self.gate.send(GateMessage::Report(report, reply));
+        sent.expect("the gate runs");
+        done.await.expect("an answer");
+    }
+
     /// Tells the gate that an exchange with the server has failed.
     fn report_unreachable(&self) {
         let sent = self.gate.send(GateMessage::Unreachable);
@@ -105,6 +140,14 @@
     }
 }
 
+fn announced_server() -> AnnouncedServer {
+    AnnouncedServer {
+        service: "records".into(),
+        version: "v1".into(),
+        slots: 6,
+    }
+}
+
 fn listen(address: SocketAddr) -> TcpListener {
     TcpListener::bind(address).expect("the address is free")
 }
@@ -158,3 +201,57 @@
         assert_eq!(gate.crashes(), 2);
     });
 }
+
+// Guards against a crash that never was: a node that has just started finds its server,
+// which then sends its first report.
+#[test]
+fn a_server_that_was_found_and_reports_has_not_crashed() {
+    System::new().block_on(async {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let mut gate = TestGate::spawn();
+        let started_ms = wall_clock::millis() - 60_000;
+        gate.find(address, "run-1");
+        gate.wait_for(EndpointStanding::Serving).await;
+        gate.report(address, "run-1", started_ms).await;
+        assert_eq!(gate.crashes(), 0);
+        let record = gate.records.recv().await.expect("a record");
+        assert_eq!(
+            (record.slots, record.standing),
+            (6, EndpointStanding::Serving)
+        );
+        // Another run shows that this one has ended.
+        gate.report(address, "run-2", wall_clock::millis() + 1)
+            .await;
+        assert_eq!(gate.crashes(), 1);
+    });
+}
+
+// Guards against a crash that never was, as above, of a server that announces itself.
+#[test]
+fn a_server_that_was_found_and_announces_itself_has_not_crashed() {
+    System::new().block_on(async {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let mut gate = TestGate::spawn();
+        gate.find(address, "run-1");
+        gate.wait_for(EndpointStanding::Serving).await;
+        gate.announce(address, "run-1").await;
+        assert_eq!(gate.crashes(), 0);
+    });
+}
+
+// Guards against a crash that never was, and against assumed slots in the place of
+// announced ones: a health check ends after the server has announced itself.
+#[test]
+fn a_late_health_check_does_not_replace_an_announcement() {
+    System::new().block_on(async {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let mut gate = TestGate::spawn();
+        gate.announce(address, "run-1").await;
+        gate.find(address, "run-1");
+        gate.announce(address, "run-1").await;
+        assert_eq!(gate.crashes(), 0);
+        while let Ok(record) = gate.records.try_recv() {
+            assert_eq!(record.slots, 6);
+        }
+    });
+}
