A planned stop breaks off no work before the last sixth of its time

Cause: three constant margins that add up on the path to the node's own server, 900 ms in the platform's settings, 200 ms for the listener of other nodes, 50 ms for own calls. None follows from the grace period.

Change: stop_schedule derives each time of a stop from the time after which the process is killed, in 48ths, for all paths: own clients, other nodes', own and other servers, streamed answers, accepted deadlines, control instances. stop_within is that time itself, and changed settings apply to a running process.

--- a/crates/cli/src/local_fleet.rs
+++ b/crates/cli/src/local_fleet.rs
@@ -195,6 +195,7 @@
         let settings = ControlSettings {
             joining: None,
             node_live: None,
+            stop_within: None,
             failure_domains: Vec::new(),
             data_folder: folder.join(&*instance),
             instance,
--- a/crates/control/benches/agreement.rs
+++ b/crates/control/benches/agreement.rs
@@ -96,6 +96,7 @@
         let settings = ControlSettings {
             joining: None,
             node_live: None,
+            stop_within: None,
             failure_domains: Vec::new(),
             instance: Arc::clone(&member.instance),
             failure_domain: "bench".into(),
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -16,8 +16,10 @@
 
 use cowslip_core::control_roster::ControlSeat;
 use cowslip_core::node_presence::NodePresence;
+use cowslip_core::stop_schedule::StopSchedule;
 use cowslip_wire::admin_handler::AdminHandler;
 use cowslip_wire::admin_handler::ADMIN_CONNECTIONS_MAX;
+use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::http_listener::HttpHandler;
 use cowslip_wire::http_listener::HttpListener;
 use cowslip_wire::peer_client::PeerClient;
@@ -45,9 +47,9 @@
 /// or 1,040 while most of the others are down, with two connections each.
 const CONNECTIONS_MAX: usize = 4_096;
 
-/// Longest time that a stop waits for requests in flight. A follower asks to
-/// wait for at most two seconds.
-const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time of a planned stop if the settings do not bound it. A follower asks to wait
+/// for at most two seconds.
+const STOP_TIME: Duration = Duration::from_secs(7);
 
 /// Longest time that a stop waits for another instance to become leader.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -89,6 +91,7 @@
     main: HttpListener,
     admin: HttpListener,
     agreement: mpsc::Sender<AgreementMessage>,
+    stop_within: Cell<Duration>,
 }
 
 impl ControlDaemon {
@@ -196,12 +199,16 @@
             main,
             admin,
             agreement: task,
+            stop_within: Cell::new(settings.stop_within.unwrap_or(STOP_TIME)),
         })
     }
 
     /// Applies the settings that can change while the instance runs: the
-    /// instances to contact when it hears from no leader.
+    /// instances to contact when it hears from no leader, and the time of a planned
+    /// stop.
     pub async fn reload(&self, settings: &ControlSettings) {
+        self.stop_within
+            .set(settings.stop_within.unwrap_or(STOP_TIME));
         let message = AgreementMessage::SetSeeds(settings.founders());
         // Fails only at shutdown: the task runs as long as the process.
         let _ = self.agreement.send(message).await;
@@ -215,14 +222,17 @@
     /// Hands over leadership if this instance leads, then stops serving.
     /// Returns true if all requests in flight ended before the timeout.
     pub async fn stop(self) -> bool {
-        self.hand_over().await;
-        let main_drained = self.main.stop(STOP_TIMEOUT).await;
-        self.admin.stop(STOP_TIMEOUT).await && main_drained
+        let schedule = StopSchedule::of(self.stop_within.get(), HAND_OVER_TIMEOUT);
+        let began = BootInstant::now();
+        let until = |time: Duration| time.saturating_sub(began.elapsed());
+        self.hand_over(schedule.notice).await;
+        let main_drained = self.main.stop(until(schedule.connections)).await;
+        self.admin.stop(until(schedule.connections)).await && main_drained
     }
 
     /// Waits until another instance leads. After the timeout the others elect a
     /// leader by themselves.
-    async fn hand_over(&self) {
+    async fn hand_over(&self, timeout: Duration) {
         let (reply, done) = oneshot::channel();
         if self
             .agreement
@@ -232,6 +242,6 @@
         {
             return;
         }
-        let _ = actix_rt::time::timeout(HAND_OVER_TIMEOUT, done).await;
+        let _ = actix_rt::time::timeout(timeout, done).await;
     }
 }
--- a/crates/control/src/control_settings.rs
+++ b/crates/control/src/control_settings.rs
@@ -41,6 +41,9 @@
     /// How long a node counts as live after it was last heard from. Set if
     /// nodes ask more often than every four seconds, to six times their wait.
     pub node_live: Option<Duration>,
+    /// Time after the start of a planned stop at which the process is killed, if that
+    /// is bounded. The stop ends before.
+    pub stop_within: Option<Duration>,
     /// Key that authenticates operators.
     pub operator_key: AccessKey,
     /// Key that authenticates the system's processes to each other.
@@ -83,6 +86,7 @@
         let failure_domains: Vec<String> =
             reader.scalars("failure_domains", "the name of a failure domain");
         let node_live = reader.optional("node_live", "a time such as 10s");
+        let stop_within = reader.optional("stop_within", "a time such as 30s");
         let joining = joining(reader, &mut members);
         let operator_key = reader.required("operator_key", KEY);
         let system_key = reader.required("system_key", KEY);
@@ -105,6 +109,7 @@
             joining,
             failure_domains: failure_domains.into_iter().map(Arc::from).collect(),
             node_live: node_live.map(|SettingsDuration(live)| live),
+            stop_within: stop_within.map(|SettingsDuration(within)| within),
             operator_key: operator_key?,
             system_key: system_key?,
         })
--- a/crates/control/tests/control_daemon.rs
+++ b/crates/control/tests/control_daemon.rs
@@ -24,6 +24,7 @@
         let settings = ControlSettings {
             joining: None,
             node_live: None,
+            stop_within: None,
             failure_domains: Vec::new(),
             data_folder: folder.path().join("data"),
             instance: "control-0".into(),
--- a/crates/control/tests/store_failures.rs
+++ b/crates/control/tests/store_failures.rs
@@ -213,6 +213,7 @@
     let settings = ControlSettings {
         joining: None,
         node_live: None,
+        stop_within: None,
         failure_domains: Vec::new(),
         instance: "control-1".into(),
         failure_domain: "one".into(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod snapshot_chunks;
 pub mod source_proof;
 pub mod source_ring;
+pub mod stop_schedule;
 pub mod tuning;
 pub mod update_source;
 pub mod verdict;
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -17,6 +17,7 @@
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::entry_router::EntryRouter;
 use cowslip_core::server_runs::is_possible_start;
+use cowslip_core::stop_schedule::StopSchedule;
 use cowslip_core::version::ConfigVersion;
 use cowslip_wire::admin_handler::AdminHandler;
 use cowslip_wire::admin_handler::ADMIN_CONNECTIONS_MAX;
@@ -75,14 +76,6 @@
 /// request.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// Part of a bounded stop that is reserved for the last responses to reach their
-/// callers after the backend server has finished its work.
-const RESPONSE_FLUSH_TIME: Duration = Duration::from_millis(200);
-
-/// Part of a bounded stop that is left for the answers of calls that are ended by it.
-/// Short, because the backend server may answer them until then.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(50);
-
 /// Listening sockets of a node, bound before it starts.
 pub struct NodeSockets {
     callers: TcpListener,
@@ -112,8 +105,8 @@
     gate: mpsc::UnboundedSender<GateMessage>,
     controls: watch::Sender<Vec<SocketAddr>>,
     progress: Rc<StopProgress>,
-    drain_notice: Duration,
-    stop_within: Option<Duration>,
+    drain_notice: Cell<Duration>,
+    stop_within: Cell<Option<Duration>>,
 }
 
 /// Wraps a listener's handler in another one.
@@ -359,8 +352,8 @@
             gate,
             controls,
             progress,
-            drain_notice: settings.drain_notice,
-            stop_within: settings.stop_within,
+            drain_notice: Cell::new(settings.drain_notice),
+            stop_within: Cell::new(settings.stop_within),
         };
         info!(
             "event=started process=node instance={} failure_domain={} callers={} local={} peer={} admin={}",
@@ -375,8 +368,10 @@
     }
 
     /// Applies the settings that can change while the node runs: the addresses
-    /// of the control instances.
+    /// of the control instances, and the times of a planned stop.
     pub fn reload(&self, settings: &NodeSettings) {
+        self.drain_notice.set(settings.drain_notice);
+        self.stop_within.set(settings.stop_within);
         self.controls.send_if_modified(|current| {
             let changed = *current != settings.controls;
             current.clone_from(&settings.controls);
@@ -402,7 +397,7 @@
     /// Planned stop: announces the stop, refuses new calls and waits for those in
     /// flight. Returns true if no call was cut off.
     pub async fn stop(self) -> bool {
-        match self.stop_within {
+        match self.stop_within.get() {
             Some(within) => self.stop_within(within).await,
             None => self.drain_and_stop().await,
         }
@@ -411,7 +406,7 @@
     async fn drain_and_stop(self) -> bool {
         self.progress.set_stage(NodeStage::Stopping);
         let _ = self.gate.send(GateMessage::Stop);
-        actix_rt::time::sleep(self.drain_notice).await;
+        actix_rt::time::sleep(self.drain_notice.get()).await;
         let mut drained = self.callers.stop(DRAIN_TIMEOUT).await;
         drained &= self.peer.stop(DRAIN_TIMEOUT).await;
         // The local listener closes last: work that the backend server still
@@ -420,8 +415,8 @@
         drained & self.admin.stop(DRAIN_TIMEOUT).await
     }
 
-    /// Planned stop that takes at most `within`. Returns true if no call was cut
-    /// off.
+    /// Planned stop of a process that is killed after `within`. Returns true if no
+    /// call was cut off.
     ///
     /// Load pattern: a fleet is restarted node by node. Callers learn of a stop
     /// from the readiness page within about two seconds, and the backend server
@@ -430,16 +425,19 @@
     /// stop; with four of nine nodes stopping, that is nearly half of the
     /// capacity. The node therefore serves all calls during the drain notice,
     /// and afterwards only those that can end before the process does. Work in
-    /// progress on the backend server gets nearly all of the remaining time.
+    /// progress on the backend server gets nearly all of the remaining time,
+    /// whichever way its call came.
     pub async fn stop_within(self, within: Duration) -> bool {
-        let end = BootInstant::now() + within;
-        let left = || end.saturating_duration_since(BootInstant::now());
+        let schedule = StopSchedule::of(within, self.drain_notice.get());
+        let began = BootInstant::now();
+        let until = |time: Duration| time.saturating_sub(began.elapsed());
         self.progress.set_stage(NodeStage::Leaving);
-        actix_rt::time::sleep(self.drain_notice).await;
+        actix_rt::time::sleep(schedule.notice).await;
         let _ = self.gate.send(GateMessage::Stop);
-        self.progress.set_stage(NodeStage::Ending(end));
+        let latest_deadline = began + schedule.deadlines;
+        self.progress.set_stage(NodeStage::Ending(latest_deadline));
         let progress = Rc::clone(&self.progress);
-        let until_calls_end = left().saturating_sub(LAST_ANSWERS_TIME);
+        let until_calls_end = until(schedule.calls);
         actix_rt::spawn(async move {
             actix_rt::time::sleep(until_calls_end).await;
             progress.end_calls();
@@ -447,13 +445,10 @@
         // The peer listener closes before the callers' listener: the backend
         // server's work for other nodes may need outbound calls, which arrive
         // on the callers' listener.
-        let mut drained = self
-            .peer
-            .stop(left().saturating_sub(RESPONSE_FLUSH_TIME))
-            .await;
+        let mut drained = self.peer.stop(until(schedule.peers)).await;
         self.progress.set_stage(NodeStage::Stopping);
-        drained &= self.callers.stop(left()).await;
-        drained &= self.local.stop(left()).await;
-        drained & self.admin.stop(left()).await
+        drained &= self.callers.stop(until(schedule.connections)).await;
+        drained &= self.local.stop(until(schedule.connections)).await;
+        drained & self.admin.stop(until(schedule.connections)).await
     }
 }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -60,8 +60,9 @@
     /// Bandwidth of the machine's link, in megabits a second. Answers are sent no
     /// faster, so that they do not delay other messages; if absent, they are not paced.
     pub link_mbps: Option<f64>,
-    /// Longest total time of a planned stop, during whose notice the node keeps
-    /// serving. If absent, a stop takes as long as the calls in flight need.
+    /// Time after the start of a planned stop at which the process is killed. The
+    /// stop ends before that, and the node keeps serving during its notice. If absent,
+    /// a stop takes as long as the calls in flight need.
     pub stop_within: Option<Duration>,
 }
 
--- a/crates/node/src/node_stage.rs
+++ b/crates/node/src/node_stage.rs
@@ -7,10 +7,6 @@
 
 use cowslip_wire::boot_instant::BootInstant;
 
-/// Time that is reserved for the answer of an accepted call, between its deadline and
-/// the end of a stop.
-const ANSWER_MARGIN: Duration = Duration::from_millis(200);
-
 /// Stage of a node's planned stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum NodeStage {
@@ -20,8 +16,8 @@
     /// The node accepts all calls, and its readiness page says that it is
     /// leaving.
     Leaving,
-    /// The node accepts only calls whose deadline is well before this instant;
-    /// calls in flight finish.
+    /// The node accepts only calls whose deadline is before this instant; calls in
+    /// flight finish.
     Ending(BootInstant),
     /// The node refuses new calls; calls in flight finish.
     Stopping,
@@ -38,9 +34,9 @@
     pub fn accepts(self, left: Option<Duration>) -> bool {
         match self {
             Self::Serving | Self::Leaving => true,
-            Self::Ending(end) => {
-                let until_end = end.saturating_duration_since(BootInstant::now());
-                left.is_some_and(|left| left + ANSWER_MARGIN < until_end)
+            Self::Ending(latest) => {
+                let until_latest = latest.saturating_duration_since(BootInstant::now());
+                left.is_some_and(|left| left < until_latest)
             }
             Self::Stopping => false,
         }
