An acknowledged departure outlives the node that acknowledged it

Cause: which run has left stood in the memory of one process, and the acknowledgement did not wait for more. Nodes have no disk.

Change: a departure is an entry of the agreed log, outside the configuration; the node withdraws its server at once and acknowledges when the leader has committed it, or answers 503 after 0.85 s and goes on sending. A starting node asks its control instance for the departures of its servers, which asks the leader once for all that wait. Reports (draining), DELETE, POST /drain of servers that name their runs, and Server-Leaving in answers take the same way.

Tests of the log build entries by LogEntry::new; what they check is the same.

--- a/crates/control/src/agreement_task.rs
+++ b/crates/control/src/agreement_task.rs
@@ -35,6 +35,7 @@
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::control_state::AcceptedChange;
 use cowslip_core::control_state::ConfigSnapshot;
+use cowslip_core::departure::Departure;
 use cowslip_core::rollout::rollout_record::RolloutRecord;
 use cowslip_wire::boot_instant::BootInstant;
 use cowslip_wire::messages::LeaderAnswer;
@@ -84,6 +85,10 @@
     /// Returns the configuration in force, and the answer to the change with
     /// this request ID if it was decided.
     Current(Arc<str>, oneshot::Sender<LeaderAnswer<CurrentRevision>>),
+    /// Keeps the departure of a backend server.
+    Depart(Departure, oneshot::Sender<LeaderAnswer<()>>),
+    /// Returns the departures of the servers beside these nodes.
+    Departures(Vec<Arc<str>>, oneshot::Sender<LeaderAnswer<Vec<Departure>>>),
     /// Returns the members and their state.
     Members(oneshot::Sender<LeaderAnswer<Vec<MemberLine>>>),
     /// Sets the instances to contact in addition to the members.
@@ -140,6 +145,7 @@
     next_ticket: u64,
     pending_changes: BTreeMap<u64, oneshot::Sender<LeaderAnswer<ChangeOutcome>>>,
     pending_member_changes: BTreeMap<u64, oneshot::Sender<LeaderAnswer<MemberAnswer>>>,
+    pending_departures: BTreeMap<u64, oneshot::Sender<LeaderAnswer<()>>>,
     pending_hand_overs: Vec<oneshot::Sender<()>>,
 }
 
@@ -213,6 +219,7 @@
         next_ticket: 0,
         pending_changes: BTreeMap::new(),
         pending_member_changes: BTreeMap::new(),
+        pending_departures: BTreeMap::new(),
         pending_hand_overs: Vec::new(),
     };
     let (sender, receiver) = mpsc::channel(QUEUE_CAPACITY);
@@ -353,6 +360,15 @@
                 self.pending_member_changes.insert(ticket, reply);
                 events.push(ReplicaEvent::Members(ticket, change));
             }
+            AgreementMessage::Depart(departure, reply) => {
+                let ticket = self.new_ticket();
+                self.pending_departures.insert(ticket, reply);
+                events.push(ReplicaEvent::Depart(ticket, departure));
+            }
+            AgreementMessage::Departures(nodes, reply) => {
+                let kept = self.member.state().departures();
+                let _ = reply.send(self.if_leading(|| kept.of_nodes(&nodes)));
+            }
             AgreementMessage::History(reply) => {
                 let history = self.member.state().history();
                 let _ = reply.send(self.if_leading(|| history.cloned().collect()));
@@ -427,6 +443,10 @@
                 let reply = self.pending_member_changes.remove(&ticket);
                 self.answer(reply, answer);
             }
+            ReplicaAction::AnswerDeparture(ticket, answer) => {
+                let reply = self.pending_departures.remove(&ticket);
+                self.answer(reply, answer);
+            }
             ReplicaAction::LeaderStatus(status) => self.publish_leader(&status),
             ReplicaAction::Members(members) => {
                 membership_log::members(
--- a/crates/control/src/control_daemon.rs
+++ b/crates/control/src/control_daemon.rs
@@ -31,6 +31,7 @@
 use crate::control_handler::ControlHandler;
 use crate::control_roster_task;
 use crate::control_settings::ControlSettings;
+use crate::departure_task;
 use crate::evacuation_api::EvacuationApi;
 use crate::fanout_task;
 use crate::fanout_task::FanoutMessage;
@@ -154,6 +155,10 @@
             agreement.clone(),
             PeerClient::new(settings.system_key.clone()),
         );
+        let departures = departure_task::spawn(
+            agreement.clone(),
+            PeerClient::new(settings.system_key.clone()),
+        );
         actix_rt::spawn(roster_task::run(agreement.clone(), fanout.clone()));
         actix_rt::spawn(control_roster_task::run(
             seat,
@@ -178,6 +183,7 @@
             rollout_api,
             evacuation_api,
             quarantines,
+            departures,
         );
         let handler = middleware(api, Rc::new(handler));
         let main = HttpListener::spawn(sockets.main, CONNECTIONS_MAX, handler)?;
--- a/crates/control/src/control_handler.rs
+++ b/crates/control/src/control_handler.rs
@@ -12,11 +12,14 @@
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
+use cowslip_core::departure::Departure;
 use cowslip_wire::access_key::AccessKey;
 use cowslip_wire::agreement_messages::AgreeCall;
 use cowslip_wire::agreement_messages::MemberCall;
 use cowslip_wire::agreement_messages::MembersCall;
 use cowslip_wire::crash_messages::CrashCall;
+use cowslip_wire::departure_messages::DepartCall;
+use cowslip_wire::departure_messages::DeparturesCall;
 use cowslip_wire::evidence_messages::EvidenceCall;
 use cowslip_wire::evidence_messages::RolloutsCall;
 use cowslip_wire::follow_messages::ChunkCall;
@@ -41,6 +44,8 @@
 
 use crate::agreement_task::AgreementHandle;
 use crate::agreement_task::AgreementMessage;
+use crate::departure_task::DepartureHandle;
+use crate::departure_task::DepartureQuestion;
 use crate::evacuation_api::EvacuationApi;
 use crate::fanout_task::FanoutMessage;
 use crate::quarantine_task::QuarantineHandle;
@@ -60,17 +65,19 @@
     rollout_api: RolloutApi,
     evacuation_api: EvacuationApi,
     quarantines: QuarantineHandle,
+    departures: DepartureHandle,
 }
 
 impl ControlHandler {
-    /// Creates a handler that passes requests to the tasks of the two APIs and to the
-    /// task of quarantines.
+    /// Creates a handler that passes requests to the tasks of the two APIs and to those
+    /// of quarantines and departures.
     pub fn new(
         operator_key: AccessKey,
         system_key: AccessKey,
         rollout_api: RolloutApi,
         evacuation_api: EvacuationApi,
         quarantines: QuarantineHandle,
+        departures: DepartureHandle,
     ) -> Self {
         let dispatcher = RequestDispatcher {
             operator_key,
@@ -80,6 +87,7 @@
             rollout_api,
             evacuation_api,
             quarantines,
+            departures,
         };
         Self {
             dispatcher: Rc::new(dispatcher),
@@ -184,6 +192,21 @@
                 sent.map_err(|_| stopping_reply())?;
                 Ok(encoded(&()))
             }
+            DepartCall::PATH => {
+                let call: DepartCall = self.read(&mut request).await?;
+                if !call.departure.has_possible_names() {
+                    let status = StatusCode::BAD_REQUEST;
+                    return Err(http_reply::text(status, "its names are too long"));
+                }
+                let kept = self.ask_agreement(|reply| {
+                    AgreementMessage::Depart(call.departure, reply)
+                });
+                Ok(encoded(&kept.await?))
+            }
+            DeparturesCall::PATH => {
+                let call: DeparturesCall = self.read(&mut request).await?;
+                Ok(encoded(&self.departures(call).await?))
+            }
             RolloutsCall::PATH => {
                 let call: RolloutsCall = self.read(&mut request).await?;
                 let lines = self.rollout_api.lines(call).await;
@@ -256,6 +279,24 @@
         Ok(LeaderAnswer::Answered(self.ask_fanout(message).await?))
     }
 
+    async fn departures(
+        &self,
+        call: DeparturesCall,
+    ) -> Result<LeaderAnswer<Vec<Departure>>, HttpReply> {
+        // Two instances that name each other as leader must not ask in turn.
+        if call.forwarded {
+            let message = |reply| AgreementMessage::Departures(call.nodes, reply);
+            return self.ask_agreement(message).await;
+        }
+        let (reply, answer) = oneshot::channel();
+        let sent = self
+            .departures
+            .send(DepartureQuestion { call, reply })
+            .await;
+        sent.map_err(|_| stopping_reply())?;
+        answer.await.map_err(|_| stopping_reply())
+    }
+
     async fn moves(
         &self,
         call: MovesCall,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control_handler;
 pub mod control_roster_task;
 pub mod control_settings;
+pub mod departure_task;
 pub mod evacuation_api;
 pub mod fanout_task;
 pub mod folder_opener;
--- a/crates/control/tests/folder_forms.rs
+++ b/crates/control/tests/folder_forms.rs
@@ -103,10 +103,10 @@
         at_ms: index,
         change: ConfigChange::RemoveException { id: "none".into() },
     };
-    LogEntry {
-        version: ConfigVersion::new(term, index),
-        body: EntryBody::Change(Arc::new(entry)),
-    }
+    LogEntry::new(
+        ConfigVersion::new(term, index),
+        EntryBody::Change(Arc::new(entry)),
+    )
 }
 
 fn members_entry(term: u64, index: u64) -> LogEntry {
@@ -117,10 +117,7 @@
         role: MemberRole::Voter,
     };
     members.set(INSTANCE.into(), record);
-    LogEntry {
-        version: ConfigVersion::new(term, index),
-        body: EntryBody::Members(members),
-    }
+    LogEntry::new(ConfigVersion::new(term, index), EntryBody::Members(members))
 }
 
 fn hard(term: u64) -> HardState {
--- a/crates/control/tests/member_store.rs
+++ b/crates/control/tests/member_store.rs
@@ -24,10 +24,7 @@
 const INSTANCE: &str = "control-1";
 
 fn entry(term: u64, index: u64) -> LogEntry {
-    LogEntry {
-        version: ConfigVersion::new(term, index),
-        body: EntryBody::Blank,
-    }
+    LogEntry::new(ConfigVersion::new(term, index), EntryBody::Blank)
 }
 
 fn hard(term: u64) -> HardState {
--- a/crates/control/tests/peer_sender.rs
+++ b/crates/control/tests/peer_sender.rs
@@ -159,10 +159,10 @@
         at_ms: 0,
         change: ConfigChange::RemoveException { id: "none".into() },
     };
-    let entry = LogEntry {
-        version: ConfigVersion::new(1, index),
-        body: EntryBody::Change(Arc::new(entry)),
-    };
+    let entry = LogEntry::new(
+        ConfigVersion::new(1, index),
+        EntryBody::Change(Arc::new(entry)),
+    );
     let body = MessageBody::Append {
         previous: ConfigVersion::new(1, index - 1),
         entries: vec![entry],
--- a/crates/core/src/agreement/leadership.rs
+++ b/crates/core/src/agreement/leadership.rs
@@ -27,6 +27,7 @@
 use crate::agreement::timing::LEASE_DURATION;
 use crate::agreement::timing::PEER_LIVE_TIMEOUT;
 use crate::agreement::timing::STEP_DOWN_TIMEOUT;
+use crate::departure::Departure;
 use crate::version::ConfigVersion;
 
 /// Maximum number of unacknowledged entries in flight to one member. A round
@@ -203,9 +204,8 @@
         if let EntryBody::Members(members) = &body {
             self.drop_replaced_peers(members);
         }
-        let index = self.log.last().index + 1;
-        let version = ConfigVersion::new(self.hard.term, index);
-        self.append(LogEntry { version, body });
+        let version = self.next_version();
+        self.append(LogEntry::new(version, body));
         version
     }
 
@@ -225,13 +225,35 @@
     /// Appends an entry and returns its version, or `None` if this member does
     /// not hold the leader lease or has too many uncommitted entries.
     pub fn propose(&mut self, now: Duration, body: EntryBody) -> Option<ConfigVersion> {
-        let ElectionState::Leader(leadership) = &self.election_state else {
-            return None;
-        };
-        if !leadership.is_fresh(self, now) || self.has_full_backlog() {
+        self.accepts_changes(now)
+            .then(|| self.append_as_leader(body))
+    }
+
+    /// Appends a departure to the log; `None` if this member accepts no changes at
+    /// present.
+    pub fn propose_departure(
+        &mut self,
+        now: Duration,
+        departure: Departure,
+    ) -> Option<ConfigVersion> {
+        if !self.accepts_changes(now) {
             return None;
         }
-        Some(self.append_as_leader(body))
+        let version = self.next_version();
+        self.append(LogEntry::of_departure(version, departure));
+        Some(version)
+    }
+
+    fn accepts_changes(&self, now: Duration) -> bool {
+        let ElectionState::Leader(leadership) = &self.election_state else {
+            return false;
+        };
+        leadership.is_fresh(self, now) && !self.has_full_backlog()
+    }
+
+    /// Version of the next entry that this leader appends.
+    fn next_version(&self) -> ConfigVersion {
+        ConfigVersion::new(self.hard.term, self.log.last().index + 1)
     }
 
     /// True if the entries that wait to be committed are as many or as large as may
--- a/crates/core/src/agreement/log_entry.rs
+++ b/crates/core/src/agreement/log_entry.rs
@@ -7,6 +7,7 @@
 
 use crate::agreement::member_list::MemberList;
 use crate::change::ChangeEntry;
+use crate::departure::Departure;
 use crate::encoded_size;
 use crate::version::ConfigVersion;
 
@@ -17,6 +18,10 @@
     pub version: ConfigVersion,
     /// Contents of the entry.
     pub body: EntryBody,
+    /// A departure that the entry records besides. Earlier builds skip it, and see an
+    /// entry without contents.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departure: Option<Arc<Departure>>,
 }
 
 /// Contents of a log entry.
@@ -31,6 +36,24 @@
 }
 
 impl LogEntry {
+    /// An entry with these contents and no departure.
+    pub fn new(version: ConfigVersion, body: EntryBody) -> Self {
+        Self {
+            version,
+            body,
+            departure: None,
+        }
+    }
+
+    /// An entry that only records a departure.
+    pub fn of_departure(version: ConfigVersion, departure: Departure) -> Self {
+        Self {
+            version,
+            body: EntryBody::Blank,
+            departure: Some(Arc::new(departure)),
+        }
+    }
+
     /// Size of the encoded entry in bytes.
     pub fn encoded_bytes(&self) -> usize {
         encoded_size::of(self)
--- a/crates/core/src/agreement/replica_log.rs
+++ b/crates/core/src/agreement/replica_log.rs
@@ -38,9 +38,9 @@
     version: ConfigVersion,
     /// Size of the encoded entry in bytes.
     bytes: usize,
-    /// Contents of the entry; `None` if only the data folder holds them. Member lists
-    /// are always held.
-    body: Option<EntryBody>,
+    /// The entry; `None` if only the data folder holds it. Member lists are always
+    /// held.
+    entry: Option<LogEntry>,
 }
 
 impl LogSlot {
@@ -48,7 +48,7 @@
         Self {
             version: entry.version,
             bytes: entry.encoded_bytes(),
-            body: Some(entry.body),
+            entry: Some(entry),
         }
     }
 
@@ -56,19 +56,21 @@
         Self {
             version: entry.version,
             bytes: entry.bytes,
-            body: entry.members.map(EntryBody::Members),
+            entry: entry
+                .members
+                .map(|members| LogEntry::new(entry.version, EntryBody::Members(members))),
         }
     }
 
     fn members(&self) -> Option<&MemberList> {
-        match &self.body {
-            Some(EntryBody::Members(members)) => Some(members),
-            _ => None,
+        match &self.entry.as_ref()?.body {
+            EntryBody::Members(members) => Some(members),
+            EntryBody::Blank | EntryBody::Change(_) => None,
         }
     }
 
     fn held_bytes(&self) -> usize {
-        if self.body.is_some() {
+        if self.entry.is_some() {
             self.bytes
         } else {
             0
@@ -208,18 +210,15 @@
     pub fn held_entries(&self) -> Vec<LogEntry> {
         let mut entries = Vec::with_capacity(self.slots.len());
         for slot in &self.slots {
-            debug_assert!(slot.body.is_some(), "{} is not held", slot.version);
-            let version = slot.version;
-            if let Some(body) = slot.body.clone() {
-                entries.push(LogEntry { version, body });
-            }
+            debug_assert!(slot.entry.is_some(), "{} is not held", slot.version);
+            entries.extend(slot.entry.clone());
         }
         entries
     }
 
     /// True if all entries after `index` are held in memory.
     pub fn is_held_after(&self, index: u64) -> bool {
-        self.slots_from(index + 1).all(|slot| slot.body.is_some())
+        self.slots_from(index + 1).all(|slot| slot.entry.is_some())
     }
 
     /// Encoded size in bytes of the entries from `first` to before `end`.
@@ -241,8 +240,8 @@
 
     fn read_slot(&self, slot: &LogSlot) -> Result<LogEntry, UnreadableEntry> {
         let version = slot.version;
-        if let Some(body) = slot.body.clone() {
-            return Ok(LogEntry { version, body });
+        if let Some(entry) = slot.entry.clone() {
+            return Ok(entry);
         }
         let entry = self.archive.read(version.index);
         let entry = entry.filter(|entry| entry.version == version);
@@ -326,7 +325,7 @@
             self.released += 1;
             if slot.members().is_none() {
                 self.size.held_bytes -= slot.held_bytes();
-                slot.body = None;
+                slot.entry = None;
             }
         }
     }
@@ -349,7 +348,7 @@
                 break;
             };
             bytes += slot.bytes;
-            if slot.body.is_none() || bytes > KEPT_BYTES {
+            if slot.entry.is_none() || bytes > KEPT_BYTES {
                 break;
             }
             first -= 1;
--- a/crates/core/src/agreement/state_replica.rs
+++ b/crates/core/src/agreement/state_replica.rs
@@ -24,6 +24,7 @@
 use crate::change::ChangeOutcome;
 use crate::control_state::ConfigSnapshot;
 use crate::control_state::ControlState;
+use crate::departure::Departure;
 use crate::document::DocumentFault;
 use crate::document::LabelStripper;
 use crate::encoded_size;
@@ -50,6 +51,8 @@
     Change(u64, ChangeEntry),
     /// An operator's membership change; the answer carries the same ticket.
     Members(u64, MemberChange),
+    /// The departure of a backend server; the answer carries the same ticket.
+    Depart(u64, Departure),
     /// The settings name these instances, which receive hellos besides the
     /// members.
     SetSeeds(Vec<(Arc<str>, SocketAddr)>),
@@ -82,6 +85,8 @@
     AnswerChange(u64, ChangeAnswer<ChangeOutcome>),
     /// Answer an operator's membership change.
     AnswerMembers(u64, ChangeAnswer<MemberAnswer>),
+    /// Answer a departure: it is kept, or may not be.
+    AnswerDeparture(u64, ChangeAnswer<()>),
     /// The leader or the lease has changed.
     LeaderStatus(LeaderStatus),
     /// The member list of the log has changed.
@@ -106,6 +111,7 @@
 enum TicketKind {
     Change,
     Members,
+    Departure,
 }
 
 impl WaitingTicket {
@@ -133,6 +139,9 @@
                 let answer = ChangeAnswer::Decided(accepted);
                 ReplicaAction::AnswerMembers(self.ticket, answer)
             }
+            (TicketKind::Departure, _) => {
+                ReplicaAction::AnswerDeparture(self.ticket, ChangeAnswer::Decided(()))
+            }
         }
     }
 
@@ -144,6 +153,9 @@
             TicketKind::Members => {
                 ReplicaAction::AnswerMembers(self.ticket, ChangeAnswer::Unknown)
             }
+            TicketKind::Departure => {
+                ReplicaAction::AnswerDeparture(self.ticket, ChangeAnswer::Unknown)
+            }
         }
     }
 }
@@ -234,6 +246,9 @@
             ReplicaEvent::Members(ticket, change) => {
                 self.change_members(now, ticket, &change);
             }
+            ReplicaEvent::Depart(ticket, departure) => {
+                self.depart(now, ticket, departure);
+            }
             ReplicaEvent::SetSeeds(seeds) => self.agreement.set_seeds(seeds),
             ReplicaEvent::HandOver => self.agreement.hand_over(now),
         }
@@ -277,6 +292,24 @@
         self.wait_for(version, ticket, TicketKind::Change);
     }
 
+    fn depart(&mut self, now: Duration, ticket: u64, departure: Departure) {
+        let leading = self.agreement.leader_status(now).leading;
+        if leading && self.state.departures().contains(&departure) {
+            let kept = ChangeAnswer::Decided(());
+            self.actions
+                .push(ReplicaAction::AnswerDeparture(ticket, kept));
+            return;
+        }
+        match self.agreement.propose_departure(now, departure) {
+            Some(version) => self.wait_for(version, ticket, TicketKind::Departure),
+            None => {
+                let answer = ChangeAnswer::NotLeading;
+                self.actions
+                    .push(ReplicaAction::AnswerDeparture(ticket, answer));
+            }
+        }
+    }
+
     fn wait_for(&mut self, version: ConfigVersion, ticket: u64, kind: TicketKind) {
         let waiting = self.waiting.entry(version.index).or_default();
         waiting.push(WaitingTicket {
@@ -344,6 +377,10 @@
     fn apply_entry(&mut self, entry: &LogEntry) {
         self.applied = entry.version;
         let waiting = self.waiting.remove(&entry.version.index);
+        if let Some(departure) = &entry.departure {
+            let state = Arc::make_mut(&mut self.state);
+            state.record_departure(Departure::clone(departure));
+        }
         let mut outcome = None;
         if let EntryBody::Change(change) = &entry.body {
             let state = Arc::make_mut(&mut self.state);
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -17,6 +17,8 @@
 use crate::change::ConfigChange;
 use crate::change::EvacuationChange;
 use crate::change::NumberedRevision;
+use crate::departure::Departure;
+use crate::departure::DepartureTable;
 use crate::document::validate_edit;
 use crate::document::DocumentFault;
 use crate::document::EvacuationEntry;
@@ -71,6 +73,8 @@
     rollouts: RolloutRegistry,
     /// Number of the operators' revision in force; 0 before the first.
     revision: u64,
+    #[serde(skip_serializing_if = "DepartureTable::is_empty")]
+    departures: DepartureTable,
 }
 
 /// The stored form of the state.
@@ -85,6 +89,8 @@
     rollouts: RolloutRegistry,
     #[serde(default)]
     revision: u64,
+    #[serde(default)]
+    departures: DepartureTable,
 }
 
 impl From<StoredState> for ControlState {
@@ -99,6 +105,7 @@
             history: stored.history,
             rollouts: stored.rollouts,
             revision: stored.revision,
+            departures: stored.departures,
         }
     }
 }
@@ -119,6 +126,16 @@
         &self.rollouts
     }
 
+    /// Runs of backend servers that have departed.
+    pub fn departures(&self) -> &DepartureTable {
+        &self.departures
+    }
+
+    /// Keeps the departure of a backend server's run. The configuration stays as it is.
+    pub fn record_departure(&mut self, departure: Departure) {
+        self.departures.record(departure);
+    }
+
     /// Accepted changes, newest last.
     pub fn history(&self) -> impl DoubleEndedIterator<Item = &AcceptedChange> {
         self.history.iter()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod crash_evidence;
 pub mod crash_suspects;
 pub mod crash_tally;
+pub mod departure;
 pub mod directory;
 pub mod directory_follower;
 pub mod document;
--- a/crates/core/src/server_runs.rs
+++ b/crates/core/src/server_runs.rs
@@ -135,7 +135,7 @@
 impl ServerRuns {
     /// Applies a report and returns its effect.
     pub fn apply(&mut self, mut report: RunReport) -> ReportEffect {
-        let departed = self.has_departed(&report.run, Some(report.started_ms));
+        let departed = self.may_have_departed(&report.run, Some(report.started_ms));
         report.leaving |= departed;
         let Some(latest) = &mut self.latest else {
             return self.begin(report, ReportEffect::Begins);
@@ -186,18 +186,14 @@
         ReportEffect::Stale
     }
 
-    /// Records that the run of this name has departed: it never takes work again,
-    /// whatever arrives later. `started_ms` is its start time, if known, and `now_ms`
-    /// the wall clock. Returns true if it is the latest known run.
-    pub fn deregister(
-        &mut self,
-        run: &Arc<str>,
-        started_ms: Option<u64>,
-        now_ms: u64,
-    ) -> bool {
-        if !self.has_departed(run, started_ms) {
-            let start = started_ms.map_or(RunStart::Before(now_ms), RunStart::Stated);
-            let name = Arc::clone(run);
+    /// Records that a run has departed: it never takes work again, whatever arrives
+    /// later. `at_ms` is the time by the wall clock at which that was heard. Returns
+    /// true if it is the latest known run.
+    pub fn deregister(&mut self, run: &ServerRun, at_ms: u64) -> bool {
+        let ServerRun { name, started_ms } = run;
+        if !self.may_have_departed(name, *started_ms) {
+            let start = started_ms.map_or(RunStart::Before(at_ms), RunStart::Stated);
+            let name = Arc::clone(name);
             self.departed.push_back(RunIdentity { name, start });
         }
         if self.departed.len() > DEPARTED_MAX {
@@ -206,7 +202,7 @@
         let Some(latest) = &mut self.latest else {
             return false;
         };
-        let is_latest = latest.identity.may_be(run, started_ms);
+        let is_latest = latest.identity.may_be(name, *started_ms);
         latest.leaving |= is_latest;
         is_latest
     }
@@ -215,7 +211,7 @@
     /// yet. Returns true if it takes work: no run was known, and none of this name has
     /// departed.
     pub fn discover(&mut self, run: &Arc<str>, now_ms: u64) -> bool {
-        if self.latest.is_some() || self.has_departed(run, None) {
+        if self.latest.is_some() || self.has_departed(run) {
             return false;
         }
         self.latest = Some(LatestRun {
@@ -247,7 +243,12 @@
         })
     }
 
-    fn has_departed(&self, run: &str, started_ms: Option<u64>) -> bool {
+    /// Whether a run of this name has departed.
+    pub fn has_departed(&self, run: &str) -> bool {
+        self.may_have_departed(run, None)
+    }
+
+    fn may_have_departed(&self, run: &str, started_ms: Option<u64>) -> bool {
         let mut departed = self.departed.iter();
         departed.any(|identity| identity.may_be(run, started_ms))
     }
--- a/crates/core/tests/agreement/failures.rs
+++ b/crates/core/tests/agreement/failures.rs
@@ -419,17 +419,11 @@
         };
         members.set(name(at), record);
     }
-    LogEntry {
-        version: ConfigVersion::new(1, 1),
-        body: EntryBody::Members(members),
-    }
+    LogEntry::new(ConfigVersion::new(1, 1), EntryBody::Members(members))
 }
 
 fn blank_entry(term: u64, index: u64) -> LogEntry {
-    LogEntry {
-        version: ConfigVersion::new(term, index),
-        body: EntryBody::Blank,
-    }
+    LogEntry::new(ConfigVersion::new(term, index), EntryBody::Blank)
 }
 
 // Guards against an accepted change that is undone: a leader copies an entry of
--- a/crates/core/tests/agreement/fleet.rs
+++ b/crates/core/tests/agreement/fleet.rs
@@ -29,6 +29,7 @@
 use cowslip_core::change::ChangeEntry;
 use cowslip_core::change::ChangeOutcome;
 use cowslip_core::change::ConfigChange;
+use cowslip_core::departure::Departure;
 use cowslip_core::encoded_size;
 use cowslip_core::tuning::TuningKey;
 use cowslip_core::version::ConfigVersion;
@@ -79,6 +80,9 @@
     tickets: BTreeMap<u64, Arc<str>>,
     pub unknown: BTreeSet<Arc<str>>,
     pub member_answers: Vec<ChangeAnswer<MemberAnswer>>,
+    departing: BTreeMap<u64, Departure>,
+    /// Departures that were acknowledged.
+    pub departed: Vec<Departure>,
     next_ticket: u64,
     /// Members read entries of their disks instead of holding all in memory.
     pub reads_entries: bool,
@@ -181,6 +185,8 @@
             tickets: BTreeMap::new(),
             unknown: BTreeSet::new(),
             member_answers: Vec::new(),
+            departing: BTreeMap::new(),
+            departed: Vec::new(),
             next_ticket: 0,
             reads_entries: false,
             sent_bytes: BTreeMap::new(),
@@ -376,6 +382,9 @@
                 self.record_answer(ticket, answer);
             }
             ReplicaAction::AnswerMembers(_, answer) => self.member_answers.push(answer),
+            ReplicaAction::AnswerDeparture(ticket, answer) => {
+                self.record_departure(ticket, &answer);
+            }
             ReplicaAction::Publish(_)
             | ReplicaAction::LeaderStatus(_)
             | ReplicaAction::Members(_)
@@ -417,6 +426,23 @@
         }
     }
 
+    fn record_departure(&mut self, ticket: u64, answer: &ChangeAnswer<()>) {
+        let departure = self.departing.remove(&ticket);
+        let departure = departure.expect("a ticket is answered once");
+        if *answer == ChangeAnswer::Decided(()) {
+            self.departed.push(departure);
+        }
+    }
+
+    pub fn request_departure(&mut self, at: usize, departure: Departure) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        if self.instances[at].member.is_some() {
+            self.departing.insert(ticket, departure.clone());
+        }
+        self.event(at, ReplicaEvent::Depart(ticket, departure));
+    }
+
     pub fn request_change(&mut self, at: usize, entry: ChangeEntry) {
         if self.instances[at].member.is_none() {
             return;
--- a/crates/core/tests/agreement/heavy_changes.rs
+++ b/crates/core/tests/agreement/heavy_changes.rs
@@ -151,10 +151,10 @@
         disk.hard = first.hard.clone();
         disk.entries = first.entries.clone();
         for number in 1..=length {
-            disk.entries.push(LogEntry {
-                version: ConfigVersion::new(end.term, end.index + number),
-                body: EntryBody::Change(Arc::new(heavy_entry(number, bytes))),
-            });
+            disk.entries.push(LogEntry::new(
+                ConfigVersion::new(end.term, end.index + number),
+                EntryBody::Change(Arc::new(heavy_entry(number, bytes))),
+            ));
         }
     }
     fleet.reads_entries = true;
--- a/crates/core/tests/agreement/main.rs
+++ b/crates/core/tests/agreement/main.rs
@@ -1,5 +1,6 @@
 //! Consensus tests: real members on a simulated network, disks and clocks.
 
+mod departures;
 mod disk_archive;
 mod failures;
 mod fleet;
--- a/crates/core/tests/server_runs.rs
+++ b/crates/core/tests/server_runs.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 
+use cowslip_core::server_run::ServerRun;
 use cowslip_core::server_runs::ReportEffect;
 use cowslip_core::server_runs::RunReport;
 use cowslip_core::server_runs::ServerRuns;
@@ -20,6 +21,13 @@
 /// Time by the wall clock at which a health check finds the server.
 const FOUND_MS: u64 = 200;
 
+fn run(name: &str, started_ms: Option<u64>) -> ServerRun {
+    ServerRun {
+        name: name.into(),
+        started_ms,
+    }
+}
+
 fn latest_name(runs: &ServerRuns) -> Option<Arc<str>> {
     runs.server_run().map(|run| run.name)
 }
@@ -77,9 +85,9 @@
 fn a_deregistration_ends_only_its_own_run() {
     let mut runs = ServerRuns::default();
     runs.apply(report("i-1", 300, 1, false));
-    assert!(!runs.deregister(&"i-2".into(), None, FOUND_MS));
-    assert!(!runs.deregister(&"i-1".into(), Some(100), FOUND_MS));
-    assert!(runs.deregister(&"i-1".into(), Some(300), FOUND_MS));
+    assert!(!runs.deregister(&run("i-2", None), FOUND_MS));
+    assert!(!runs.deregister(&run("i-1", Some(100)), FOUND_MS));
+    assert!(runs.deregister(&run("i-1", Some(300)), FOUND_MS));
     assert_eq!(
         runs.apply(report("i-1", 300, 2, false)),
         ReportEffect::Leaves
@@ -189,7 +197,7 @@
     for started_ms in [None, Some(100)] {
         let mut runs = ServerRuns::default();
         assert!(runs.discover(&"i-1".into(), FOUND_MS));
-        let left = runs.deregister(&"i-1".into(), started_ms, FOUND_MS);
+        let left = runs.deregister(&run("i-1", started_ms), FOUND_MS);
         assert!(left, "{started_ms:?}");
         let late = runs.apply(report("i-1", 100, 1, false));
         assert_eq!(late, ReportEffect::Leaves, "{started_ms:?}");
@@ -203,7 +211,7 @@
 #[test]
 fn a_deregistration_before_any_report_counts() {
     let mut runs = ServerRuns::default();
-    runs.deregister(&"i-1".into(), Some(100), FOUND_MS);
+    runs.deregister(&run("i-1", Some(100)), FOUND_MS);
     assert!(!runs.discover(&"i-1".into(), FOUND_MS));
     assert_eq!(
         runs.apply(report("i-1", 100, 1, false)),
@@ -221,7 +229,7 @@
 fn a_deregistration_of_a_run_that_is_not_known_counts() {
     let mut runs = ServerRuns::default();
     runs.apply(report("i-1", 100, 1, false));
-    assert!(!runs.deregister(&"i-2".into(), Some(300), 400));
+    assert!(!runs.deregister(&run("i-2", Some(300)), 400));
     assert_eq!(
         runs.apply(report("i-2", 300, 1, false)),
         ReportEffect::Leaves
--- a/crates/node/src/gate_messages.rs
+++ b/crates/node/src/gate_messages.rs
@@ -13,6 +13,7 @@
 
 use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::call_fingerprint::CallFingerprint;
+use cowslip_core::departure::Departure;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::load::call_queue::CallTicket;
 use cowslip_core::load::repeat_probability::RepeatProbability;
@@ -113,11 +114,13 @@
     Report(ServerReport, oneshot::Sender<()>),
     /// A health check found a run that has not reported yet.
     RunFound(FoundRun),
-    /// The run takes no more work. The time is its start in milliseconds, if
-    /// known; answered once the gate has applied it.
-    DeregisterRun(Arc<str>, Option<u64>, oneshot::Sender<()>),
-    /// The backend server shuts down: drain it.
-    Drain,
+    /// The run takes no more work; answered once the gate has applied it.
+    DeregisterRun(ServerRun, oneshot::Sender<()>),
+    /// Departures that earlier processes of this node acknowledged.
+    Departed(Vec<Departure>),
+    /// The backend server shuts down: drain it. Answered with the run that departs by
+    /// it, if the server names its runs.
+    Drain(oneshot::Sender<Option<ServerRun>>),
     /// The node shuts down.
     Stop,
     /// A connection to the backend server failed.
@@ -217,4 +220,6 @@
     pub records: mpsc::UnboundedSender<EndpointRecord>,
     /// Each crash of the backend server.
     pub crashes: mpsc::UnboundedSender<ServerCrash>,
+    /// Each run that states in an answer that it is leaving.
+    pub departures: mpsc::UnboundedSender<ServerRun>,
 }
--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -13,6 +13,7 @@
 
 use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::crash_suspects::SuspectCall;
+use cowslip_core::departure::Departure;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::endpoint_announcer::EndpointAnnouncer;
@@ -86,6 +87,7 @@
     granted: u64,
     announcer: EndpointAnnouncer,
     records: mpsc::UnboundedSender<EndpointRecord>,
+    departures: mpsc::UnboundedSender<ServerRun>,
 }
 
 /// Starts the task. It sends each change of the endpoint's record to
@@ -95,9 +97,15 @@
     records: mpsc::UnboundedSender<EndpointRecord>,
 ) -> mpsc::UnboundedSender<GateMessage> {
     let (crashes, _) = mpsc::unbounded_channel();
+    let (departures, _) = mpsc::unbounded_channel();
+    let outputs = GateOutputs {
+        records,
+        crashes,
+        departures,
+    };
     spawn_with_status(
         endpoint,
-        GateOutputs { records, crashes },
+        outputs,
         GateStatus::default(),
         GateMetrics::default(),
     )
@@ -137,6 +145,7 @@
         granted: 0,
         announcer: EndpointAnnouncer::new(started_ms),
         records: outputs.records,
+        departures: outputs.departures,
     };
     actix_rt::spawn(task.run(receiver));
     sender
@@ -180,8 +189,8 @@
                 let _ = reply.send(());
             }
             GateMessage::RunFound(found) => self.begin_found(now, found),
-            GateMessage::DeregisterRun(run, started_ms, reply) => {
-                if self.runs.deregister(&run, started_ms, wall_clock::millis()) {
+            GateMessage::DeregisterRun(run, reply) => {
+                if self.runs.deregister(&run, wall_clock::millis()) {
                     self.presence.drain(now);
                     self.withdraw("left");
                 }
@@ -193,9 +202,11 @@
             }
             GateMessage::Unreachable => self.probe(),
             GateMessage::Probed(address, result) => self.handle_probe(address, result),
-            GateMessage::Drain => {
+            GateMessage::Departed(departures) => self.apply_departures(now, departures),
+            GateMessage::Drain(reply) => {
                 self.presence.drain(now);
                 self.withdraw("draining");
+                let _ = reply.send(self.gate.statements().run().cloned());
             }
             GateMessage::AcquireSlot(request, reply) => {
                 let SlotRequest {
@@ -261,6 +272,9 @@
             address,
             cold_remaining,
         } = announcement;
+        if run.as_ref().is_some_and(|run| self.runs.has_departed(run)) {
+            return Err(PresenceRefusal::Draining);
+        }
         let run = run.map(|name| ServerRun {
             name,
             started_ms: None,
@@ -458,6 +472,19 @@
         self.gate.announce(server);
     }
 
+    /// Applies departures that earlier processes of this node acknowledged. The server
+    /// may have been found, or have reported late, in the meantime.
+    fn apply_departures(&mut self, now: Duration, departures: Vec<Departure>) {
+        for departure in departures {
+            let run = departure.server_run();
+            if !self.runs.deregister(&run, departure.at_ms) {
+                continue;
+            }
+            self.presence.drain(now);
+            self.withdraw("departed-before");
+        }
+    }
+
     /// Applies a report of the current run: the server is reachable again, or
     /// its service, version or slots changed.
     fn continue_run(&mut self, server: AnnouncedServer) {
@@ -627,6 +654,10 @@
         if began_to_leave {
             self.presence.drain(now);
             self.withdraw("leaving");
+            if let Some(run) = self.gate.statements().run() {
+                // The keeper of departures ends only with the node.
+                let _ = self.departures.send(run.clone());
+            }
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control_watch;
 pub mod crash_recorder;
 pub mod crash_task;
+pub mod departure_keeper;
 pub mod entry_handler;
 pub mod entry_task;
 pub mod evidence_task;
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -23,6 +23,7 @@
 use cowslip_wire::http_reply;
 use cowslip_wire::http_reply::HttpReply;
 
+use crate::departure_keeper::DepartureKeeper;
 use crate::entry_handler::EntryProxy;
 use crate::gate_messages::GateMessage;
 use crate::gate_messages::ServerAnnouncement;
@@ -58,13 +59,22 @@
 pub struct LocalHandler {
     gate: mpsc::UnboundedSender<GateMessage>,
     entry: Rc<EntryProxy>,
+    departures: DepartureKeeper,
 }
 
 impl LocalHandler {
-    /// Creates a handler that sends announcements to `gate` and outbound calls to
-    /// `entry`.
-    pub fn new(gate: mpsc::UnboundedSender<GateMessage>, entry: Rc<EntryProxy>) -> Self {
-        Self { gate, entry }
+    /// Creates a handler that sends announcements to `gate`, outbound calls to `entry`
+    /// and departures to `departures`.
+    pub fn new(
+        gate: mpsc::UnboundedSender<GateMessage>,
+        entry: Rc<EntryProxy>,
+        departures: DepartureKeeper,
+    ) -> Self {
+        Self {
+            gate,
+            entry,
+            departures,
+        }
     }
 }
 
@@ -72,10 +82,13 @@
     fn handle(&self, request: Request) -> ReplyFuture {
         let gate = self.gate.clone();
         let entry = Rc::clone(&self.entry);
+        let departures = self.departures.clone();
         Box::pin(async move {
             match (request.method(), request.path()) {
                 (&Method::POST, "/announce") => announce(gate, request).await,
-                (&Method::POST, "/drain") => drain(&gate, &entry, &request).await,
+                (&Method::POST, "/drain") => {
+                    drain(&gate, &entry, &departures, &request).await
+                }
                 _ => {
                     let _guard = OutboundGuard::begin(gate);
                     // The server's work for other nodes needs its calls to the end.
@@ -154,6 +167,7 @@
 async fn drain(
     gate: &mpsc::UnboundedSender<GateMessage>,
     entry: &EntryProxy,
+    departures: &DepartureKeeper,
     request: &Request,
 ) -> HttpReply {
     let anyway = request.uri().query() == Some("anyway");
@@ -162,6 +176,16 @@
                        to another is in progress; wait for it, or POST /drain?anyway";
         return http_reply::text(StatusCode::CONFLICT, problem);
     }
-    let _ = gate.send(GateMessage::Drain);
-    http_reply::text(StatusCode::OK, "draining")
+    let (reply, departed) = oneshot::channel();
+    // The gate task ends only with the node.
+    let _ = gate.send(GateMessage::Drain(reply));
+    let Ok(Some(run)) = departed.await else {
+        return http_reply::text(StatusCode::OK, "draining");
+    };
+    if departures.keep(&run).await {
+        return http_reply::text(StatusCode::OK, "draining");
+    }
+    let problem = "draining, but the control instances do not keep it yet, so that a \
+                   restart of this node would forget it; POST /drain again";
+    http_reply::text(StatusCode::SERVICE_UNAVAILABLE, problem)
 }
--- a/crates/node/src/node_daemon.rs
+++ b/crates/node/src/node_daemon.rs
@@ -16,6 +16,7 @@
 
 use cowslip_core::entry_router::CallOrigin;
 use cowslip_core::entry_router::EntryRouter;
+use cowslip_core::server_run::ServerRun;
 use cowslip_core::server_runs::is_possible_start;
 use cowslip_core::stop_schedule::StopSchedule;
 use cowslip_core::version::ConfigVersion;
@@ -33,6 +34,7 @@
 use crate::call_metrics::CallMetrics;
 use crate::call_pools::CallPools;
 use crate::claim_client::ClaimClient;
+use crate::departure_keeper::DepartureKeeper;
 use crate::entry_handler::EntryHandler;
 use crate::entry_handler::EntryProxy;
 use crate::entry_task;
@@ -137,35 +139,69 @@
 #[derive(Clone)]
 pub struct ServerReporter {
     gate: mpsc::UnboundedSender<GateMessage>,
+    departures: DepartureKeeper,
+}
+
+/// Whether a report may be acknowledged to the backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportAnswer {
+    /// It is applied, and a departure outlives this process.
+    Taken,
+    /// It is applied, but a restart of this process would forget the departure; the
+    /// server should report it again.
+    Unkept,
+    /// No server can have made it.
+    Impossible,
 }
 
 impl ServerReporter {
-    /// Sends a report and waits until the gate has applied it. Returns false if no
-    /// server can have made it.
-    pub async fn report(&self, report: ServerReport) -> bool {
+    /// Sends a report and waits until the gate has applied it and, if the run is
+    /// leaving, until the control instances keep that.
+    pub async fn report(&self, report: ServerReport) -> ReportAnswer {
         let possible = is_possible_start(report.run.started_ms, wall_clock::millis());
         if !possible || !report.server.has_possible_slots() {
-            return false;
+            return ReportAnswer::Impossible;
         }
+        let departed = report.run.leaving.then(|| ServerRun {
+            name: Arc::clone(&report.run.run),
+            started_ms: Some(report.run.started_ms),
+        });
         let (reply, done) = oneshot::channel();
         // The gate task ends only with the node.
         let _ = self.gate.send(GateMessage::Report(report, reply));
         let _ = done.await;
-        true
+        match departed {
+            Some(run) => self.keep(&run).await,
+            None => ReportAnswer::Taken,
+        }
     }
 
-    /// Reports that the run takes no more work, and waits until the gate has
-    /// applied it. `started_ms` is the start of the run, if known; a start that is
-    /// not possible counts as unknown.
-    pub async fn deregister_run(&self, run: Arc<str>, started_ms: Option<u64>) {
+    /// Reports that the run takes no more work, and waits until the gate has applied
+    /// it and the control instances keep it. `started_ms` is the start of the run, if
+    /// known; a start that is not possible counts as unknown.
+    pub async fn deregister_run(
+        &self,
+        name: Arc<str>,
+        started_ms: Option<u64>,
+    ) -> ReportAnswer {
         let now_ms = wall_clock::millis();
         let started_ms = started_ms.filter(|started| is_possible_start(*started, now_ms));
+        let run = ServerRun { name, started_ms };
         let (reply, done) = oneshot::channel();
         // The gate task ends only with the node.
         let _ = self
             .gate
-            .send(GateMessage::DeregisterRun(run, started_ms, reply));
+            .send(GateMessage::DeregisterRun(run.clone(), reply));
         let _ = done.await;
+        self.keep(&run).await
+    }
+
+    async fn keep(&self, run: &ServerRun) -> ReportAnswer {
+        if self.departures.keep(run).await {
+            ReportAnswer::Taken
+        } else {
+            ReportAnswer::Unkept
+        }
     }
 }
 
@@ -210,6 +246,7 @@
         let failure_domain = Arc::clone(&settings.failure_domain);
         let (records, published) = mpsc::unbounded_channel();
         let (crashes, reported_crashes) = mpsc::unbounded_channel();
+        let (departures, stated_departures) = mpsc::unbounded_channel();
         let endpoint = GateEndpoint {
             instance: Arc::clone(&settings.instance),
             failure_domain: Arc::clone(&settings.failure_domain),
@@ -225,7 +262,11 @@
         let (checks, requested_checks) = mpsc::unbounded_channel();
         let gate = gate_task::spawn_with_status(
             endpoint,
-            GateOutputs { records, crashes },
+            GateOutputs {
+                records,
+                crashes,
+                departures,
+            },
             gate_status.clone(),
             GateMetrics::new(&mut registry),
         );
@@ -274,6 +315,14 @@
             crashes: reported_crashes,
         };
         let control = follow_task::spawn(options, news)?;
+        let keeper = DepartureKeeper::spawn(
+            Arc::clone(&settings.instance),
+            peers.clone(),
+            control.clone(),
+            Rc::clone(&version),
+            gate.clone(),
+        );
+        keeper.keep_all(stated_departures);
         evidence_task::spawn(
             entry.clone(),
             peers.clone(),
@@ -318,8 +367,12 @@
             CallOrigin::Outside,
             Rc::clone(&progress),
         );
-        let local = Rc::new(LocalHandler::new(gate.clone(), entry_proxy));
-        let local = (middleware.local)(ServerReporter { gate: gate.clone() }, local);
+        let reporter = ServerReporter {
+            gate: gate.clone(),
+            departures: keeper.clone(),
+        };
+        let local = Rc::new(LocalHandler::new(gate.clone(), entry_proxy, keeper));
+        let local = (middleware.local)(reporter, local);
         let admin_handler =
             AdminHandler::new(Rc::new(registry), Rc::new(Cell::new(true)));
         let admin_handler = (middleware.admin)(status, Rc::new(admin_handler));
--- a/crates/node/tests/server_crashes.rs
+++ b/crates/node/tests/server_crashes.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use cowslip_core::announced_server::AnnouncedServer;
+use cowslip_core::departure::Departure;
 use cowslip_core::directory::EndpointRecord;
 use cowslip_core::directory::EndpointStanding;
 use cowslip_core::server_runs::RunReport;
@@ -54,6 +55,7 @@
         let outputs = GateOutputs {
             records: sent_records,
             crashes: sent_crashes,
+            departures: mpsc::unbounded_channel().0,
         };
         let (status, metrics) = (GateStatus::default(), GateMetrics::default());
         let gate = gate_task::spawn_with_status(endpoint, outputs, status, metrics);
@@ -255,3 +257,35 @@
         }
     });
 }
+
+// Guards against calls to a server that an earlier process of the node acknowledged as
+// departed, and that was found or reported late before this one learned of that.
+#[test]
+fn a_departure_that_is_learned_later_withdraws_the_server() {
+    System::new().block_on(async {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let started_ms = wall_clock::millis() - 60_000;
+        for reports in [false, true] {
+            let mut gate = TestGate::spawn();
+            gate.find(address, "run-1");
+            if reports {
+                gate.report(address, "run-1", started_ms).await;
+            }
+            gate.wait_for(EndpointStanding::Serving).await;
+            let departure = Departure {
+                node: "records-1".into(),
+                run: "run-1".into(),
+                started_ms: Some(started_ms),
+                at_ms: wall_clock::millis() - 1_000,
+            };
+            let departed = GateMessage::Departed(vec![departure]);
+            gate.gate.send(departed).expect("the gate runs");
+            gate.wait_for(EndpointStanding::Draining).await;
+            gate.report(address, "run-1", started_ms).await;
+            // The next run of the same name takes work.
+            gate.report(address, "run-1", wall_clock::millis()).await;
+            gate.wait_for(EndpointStanding::Serving).await;
+            assert_eq!(gate.crashes(), 0);
+        }
+    });
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod codec;
 pub mod command_args;
 pub mod crash_messages;
+pub mod departure_messages;
 pub mod evidence_messages;
 pub mod follow_messages;
 pub mod framing_budget;
