Tests: an answer that ends within its head is a failure, wherever it ends

A report of another system: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -346,6 +346,38 @@
     });
 }
 
+// Guards against an empty or short answer that looks whole: the server stops anywhere in
+// the head of its answer, or of the one before it, and the connection ends.
+#[test]
+fn an_answer_that_ends_within_its_head_is_a_failure() {
+    System::new().block_on(async {
+        let mut taken = Vec::new();
+        for lines in [
+            "",
+            "content-length: 0\r\n",
+            "content-length: 12\r\nserver-stamp: stamp-1\r\n",
+            "connection: close\r\n",
+            "transfer-encoding: chunked\r\n",
+        ] {
+            let final_head = answer(lines, "");
+            let late =
+                "HTTP/1.1 200 OK\r\ncowslip-request-id: 0\r\ncontent-length: 0\r\n\r\n";
+            for before in ["", "HTTP/1.1 103 Early Hints\r\n\r\n", late] {
+                let head = format!("{before}{final_head}");
+                for cut in 0..head.len() {
+                    for end in [ConnectionEnd::Close, ConnectionEnd::Reset] {
+                        let outcome = outcome_of(&head[..cut], end).await;
+                        if outcome.is_some() {
+                            taken.push((head[..cut].to_owned(), end, outcome));
+                        }
+                    }
+                }
+            }
+        }
+        assert!(taken.is_empty(), "taken for answers: {taken:#?}");
+    });
+}
+
 // Guards against taking valid answers of an unusual form for broken ones.
 #[test]
 fn a_valid_answer_of_an_unusual_form_is_passed_on() {
--- a/crates/wire/tests/peer_answers.rs
+++ b/crates/wire/tests/peer_answers.rs
@@ -124,6 +124,29 @@
     chunks
 }
 
+// Guards against acting on an answer whose peer stopped anywhere in its head.
+#[test]
+fn an_answer_to_a_message_that_ends_within_its_head_does_not_count() {
+    System::new().block_on(async {
+        let mut taken = Vec::new();
+        for status in ["200 OK", "204 No Content", "404 Not Found"] {
+            for lines in ["", "content-length: 4\r\n", "connection: close\r\n"] {
+                let head = answer(status, lines, b"");
+                for cut in 0..head.len() {
+                    let outcome = send_to(head[..cut].to_vec()).await;
+                    if !matches!(outcome, Err(PeerError::NoResponse(_))) {
+                        taken.push((
+                            String::from_utf8_lossy(&head[..cut]).into_owned(),
+                            outcome,
+                        ));
+                    }
+                }
+            }
+        }
+        assert!(taken.is_empty(), "taken for answers: {taken:#?}");
+    });
+}
+
 // Guards against acting on an answer that is cut or spoilt: a change that counts as
 // made, a refusal that no peer gave.
 #[test]
