A late report of a crashed run makes no second crash

Cause: a report that a run had sent before its crash presents it again; the next refused connection counted another crash of the same run, with the calls of that moment as suspects, and another halving of a cold server's calls.

Change: a run whose start is known is found to be gone once. A run that was found to listen again and has not reported is another one, and counts as before.

Evidence: a_late_report_of_a_crashed_run_makes_no_second_crash failed on the code before (1 crash instead of 0) and passes now.

--- a/crates/node/src/gate_task.rs
+++ b/crates/node/src/gate_task.rs
@@ -70,6 +70,8 @@
     gate: ServerGate,
     presence: ServerPresence,
     runs: ServerRuns,
+    /// The last run that was found to be gone, if its start is known.
+    lost_run: Option<ServerRun>,
     probe: Option<RunningProbe>,
     self_sender: mpsc::WeakUnboundedSender<GateMessage>,
     bounds: GateBounds,
@@ -131,6 +133,7 @@
         gate: ServerGate::default(),
         presence: ServerPresence::default(),
         runs: ServerRuns::default(),
+        lost_run: None,
         probe: None,
         self_sender: sender.downgrade(),
         bounds: GateBounds::new(),
@@ -561,8 +564,9 @@
             return;
         }
         if result == ProbeResult::Refused {
+            let unreported = self.presence.awaits_report();
             if self.presence.mark_unreachable() {
-                self.record_crash(self.started.elapsed(), "refused-connection");
+                self.record_lost_run(unreported);
                 self.withdraw("server-lost");
             }
             return;
@@ -583,6 +587,19 @@
         }
     }
 
+    /// Counts the crash of the run that has gone. A late report may have presented the
+    /// same run again after its crash was counted, unless another one has started since,
+    /// which is still `unreported`.
+    fn record_lost_run(&mut self, unreported: bool) {
+        let current = self.gate.statements().run();
+        let current = current.filter(|run| run.started_ms.is_some() && !unreported);
+        if current.is_some() && current == self.lost_run.as_ref() {
+            return;
+        }
+        self.lost_run = current.cloned();
+        self.record_crash(self.started.elapsed(), "refused-connection");
+    }
+
     /// Counts the end of a run that gave no notice, as `shown_by` shows. A cold server
     /// that crashes again and again is probably sent more calls than it tolerates.
     fn record_crash(&mut self, now: Duration, shown_by: &str) {
--- a/crates/node/tests/server_crashes.rs
+++ b/crates/node/tests/server_crashes.rs
@@ -97,11 +97,21 @@
     }
 
     async fn report(&self, address: SocketAddr, run: &str, started_ms: u64) {
+        self.report_again(address, run, started_ms, 1).await;
+    }
+
+    async fn report_again(
+        &self,
+        address: SocketAddr,
+        run: &str,
+        started_ms: u64,
+        sequence: u64,
+    ) {
         let report = ServerReport {
             run: RunReport {
                 run: run.into(),
                 started_ms,
-                sequence: 1,
+                sequence,
                 leaving: false,
             },
             server: announced_server(),
@@ -289,3 +299,31 @@
         }
     });
 }
+
+// Guards against a crash that counts twice: a report that the run had sent before its end
+// arrives late, and the server is called and found to be gone again.
+#[test]
+fn a_late_report_of_a_crashed_run_makes_no_second_crash() {
+    System::new().block_on(async {
+        let server = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = server.local_addr().expect("its address");
+        let mut gate = TestGate::spawn();
+        let started_ms = wall_clock::millis() - 60_000;
+        gate.report(address, "run-1", started_ms).await;
+        drop(server);
+        gate.report_unreachable();
+        gate.wait_for(EndpointStanding::Draining).await;
+        assert_eq!(gate.crashes(), 1);
+        gate.report_again(address, "run-1", started_ms, 2).await;
+        gate.report_unreachable();
+        gate.wait_for(EndpointStanding::Draining).await;
+        assert_eq!(gate.crashes(), 0);
+        // The next run ends as well.
+        let server = listen(address);
+        gate.report(address, "run-1", wall_clock::millis()).await;
+        drop(server);
+        gate.report_unreachable();
+        gate.wait_for(EndpointStanding::Draining).await;
+        assert_eq!(gate.crashes(), 1);
+    });
+}
