A drained server may announce itself again, also after a restart of its node

Cause: after a restart, a run that was drained was refused for good, while without one an announcement of the same run is accepted after 5 s. A second drain of such a run counted as kept by the first.

Change: announcements are compared with the time of the departure; departures of runs whose start is not known are kept each time.

Evidence: a_drained_server_announces_itself_again_after_a_while, a_run_without_a_start_departs_again, and the last step of a_departure_is_kept_by_the_leader_once.

--- a/crates/core/src/departure.rs
+++ b/crates/core/src/departure.rs
@@ -49,10 +49,13 @@
         self.node.len() <= NAME_BYTES_MAX && self.run.len() <= NAME_BYTES_MAX
     }
 
-    fn is_same_run(&self, other: &Self) -> bool {
+    /// A run whose start is not known may announce itself again after its departure, and
+    /// depart once more.
+    fn is_same(&self, other: &Self) -> bool {
         self.node == other.node
             && self.run == other.run
             && self.started_ms == other.started_ms
+            && (self.started_ms.is_some() || self.at_ms == other.at_ms)
     }
 }
 
@@ -69,7 +72,7 @@
         self.departures.is_empty()
     }
 
-    /// Keeps a departure, unless that of the same run is kept already.
+    /// Keeps a departure, unless it is kept already.
     pub fn record(&mut self, departure: Departure) {
         if self.contains(&departure) {
             return;
@@ -80,10 +83,10 @@
         }
     }
 
-    /// Whether the departure of this run is kept.
+    /// Whether the departure is kept.
     pub fn contains(&self, departure: &Departure) -> bool {
         let mut kept = self.departures.iter();
-        kept.any(|kept| kept.is_same_run(departure))
+        kept.any(|kept| kept.is_same(departure))
     }
 
     /// Departures of the servers beside these nodes, oldest first.
--- a/crates/core/src/server_runs.rs
+++ b/crates/core/src/server_runs.rs
@@ -116,6 +116,13 @@
     }
 }
 
+#[derive(Clone, Debug)]
+struct DepartedRun {
+    identity: RunIdentity,
+    /// When that was heard, by the wall clock, in milliseconds.
+    at_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct LatestRun {
     identity: RunIdentity,
@@ -127,7 +134,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerRuns {
     latest: Option<LatestRun>,
-    departed: VecDeque<RunIdentity>,
+    departed: VecDeque<DepartedRun>,
     /// Run whose first report could not be ordered, and was ignored.
     ignored: Option<ServerRun>,
 }
@@ -194,7 +201,8 @@
         if !self.may_have_departed(name, *started_ms) {
             let start = started_ms.map_or(RunStart::Before(at_ms), RunStart::Stated);
             let name = Arc::clone(name);
-            self.departed.push_back(RunIdentity { name, start });
+            let identity = RunIdentity { name, start };
+            self.departed.push_back(DepartedRun { identity, at_ms });
         }
         if self.departed.len() > DEPARTED_MAX {
             self.departed.pop_front();
@@ -211,7 +219,7 @@
     /// yet. Returns true if it takes work: no run was known, and none of this name has
     /// departed.
     pub fn discover(&mut self, run: &Arc<str>, now_ms: u64) -> bool {
-        if self.latest.is_some() || self.has_departed(run) {
+        if self.latest.is_some() || self.departed_at(run).is_some() {
             return false;
         }
         self.latest = Some(LatestRun {
@@ -243,14 +251,17 @@
         })
     }
 
-    /// Whether a run of this name has departed.
-    pub fn has_departed(&self, run: &str) -> bool {
-        self.may_have_departed(run, None)
+    /// When it was heard by the wall clock, in milliseconds, that the latest run of this
+    /// name has departed; `None` if none has.
+    pub fn departed_at(&self, run: &str) -> Option<u64> {
+        let mut departed = self.departed.iter().rev();
+        let found = departed.find(|departed| departed.identity.may_be(run, None));
+        found.map(|departed| departed.at_ms)
     }
 
     fn may_have_departed(&self, run: &str, started_ms: Option<u64>) -> bool {
         let mut departed = self.departed.iter();
-        departed.any(|identity| identity.may_be(run, started_ms))
+        departed.any(|departed| departed.identity.may_be(run, started_ms))
     }
 
     fn begin(&mut self, report: RunReport, effect: ReportEffect) -> ReportEffect {
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -78,6 +78,22 @@
     assert!(encode(&table).len() < 256 * 1_024);
 }
 
+// Guards against a drain that is forgotten because the same run was drained before, and
+// has announced itself since.
+#[test]
+fn a_run_without_a_start_departs_again() {
+    let mut table = DepartureTable::default();
+    for at_ms in [5, 9] {
+        table.record(Departure {
+            started_ms: None,
+            at_ms,
+            ..departure("node-1", 1)
+        });
+    }
+    let kept = table.of_nodes(&["node-1".into()]);
+    assert_eq!(kept.last().map(|kept| kept.at_ms), Some(9));
+}
+
 // Guards against the departures of one node's servers that are told to another node.
 #[test]
 fn a_node_is_told_of_its_own_servers_only() {
--- a/crates/node/src/departure_keeper.rs
+++ b/crates/node/src/departure_keeper.rs
@@ -76,6 +76,12 @@
     state: watch::Receiver<KeepState>,
 }
 
+impl PendingDeparture {
+    fn is_done(&self) -> bool {
+        *self.state.borrow() != KeepState::Sent
+    }
+}
+
 /// Keeps departures of the server beside one node.
 #[derive(Clone)]
 pub struct DepartureKeeper {
@@ -138,7 +144,12 @@
     /// Starts to send the departure, unless that has been started before.
     fn begin(&self, run: &ServerRun) -> watch::Receiver<KeepState> {
         let mut pending = self.pending.borrow_mut();
-        if let Some(known) = pending.iter().find(|known| known.run == *run) {
+        // A run whose start is not known may depart again.
+        let is_known = |known: &&PendingDeparture| {
+            let repeats = run.started_ms.is_some() || !known.is_done();
+            known.run == *run && repeats
+        };
+        if let Some(known) = pending.iter().find(is_known) {
             return known.state.clone();
         }
         let (sender, state) = watch::channel(KeepState::Sent);
--- a/crates/node/src/gate_task/run_lifecycle.rs
+++ b/crates/node/src/gate_task/run_lifecycle.rs
@@ -9,6 +9,7 @@
 use cowslip_core::announced_server::AnnouncedServer;
 use cowslip_core::departure::Departure;
 use cowslip_core::server_presence::PresenceRefusal;
+use cowslip_core::server_presence::REANNOUNCE_DELAY;
 use cowslip_core::server_run::ServerRun;
 use cowslip_core::server_runs::ReportEffect;
 use cowslip_wire::process_log::LogValue;
@@ -40,7 +41,7 @@
             address,
             cold_remaining,
         } = announcement;
-        if run.as_ref().is_some_and(|run| self.runs.has_departed(run)) {
+        if run.as_ref().is_some_and(|run| self.has_just_departed(run)) {
             return Err(PresenceRefusal::Draining);
         }
         let run = run.map(|name| ServerRun {
@@ -240,6 +241,16 @@
         self.gate.announce(server);
     }
 
+    /// Whether an announcement of this run may have been sent before its departure,
+    /// which an earlier process of this node acknowledged.
+    fn has_just_departed(&self, run: &str) -> bool {
+        let Some(departed_ms) = self.runs.departed_at(run) else {
+            return false;
+        };
+        let delay_ms = REANNOUNCE_DELAY.as_millis() as u64;
+        wall_clock::millis() < departed_ms.saturating_add(delay_ms)
+    }
+
     /// Applies departures that earlier processes of this node acknowledged. The server
     /// may have been found, or have reported late, in the meantime.
     pub(super) fn apply_departures(&mut self, now: Duration, departures: Vec<Departure>) {
--- a/crates/node/tests/departure_keeper.rs
+++ b/crates/node/tests/departure_keeper.rs
@@ -137,10 +137,18 @@
         follower.leaderless.set(false);
         assert!(test.keeper.keep(&run("run-1")).await);
         assert!(test.keeper.keep(&run("run-1")).await);
-        let kept = leader.kept.borrow();
+        let kept = leader.kept.borrow().clone();
         let runs: Vec<ServerRun> = kept.iter().map(Departure::server_run).collect();
         assert_eq!(runs, [run("run-1")]);
         assert_eq!(&*kept[0].node, "node-1");
+        let unstarted = ServerRun {
+            started_ms: None,
+            ..run("run-1")
+        };
+        for _ in 0..2 {
+            assert!(test.keeper.keep(&unstarted).await);
+        }
+        assert_eq!(leader.kept.borrow().len(), 3, "it may depart again");
     });
 }
 
--- a/crates/node/tests/server_crashes.rs
+++ b/crates/node/tests/server_crashes.rs
@@ -18,6 +18,7 @@
 use cowslip_core::server_runs::RunReport;
 use cowslip_core::server_statement::ServerStatement;
 use cowslip_node::crash_task::ServerCrash;
+use cowslip_node::gate_messages::AnnounceAnswer;
 use cowslip_node::gate_messages::FoundRun;
 use cowslip_node::gate_messages::GateEndpoint;
 use cowslip_node::gate_messages::GateMessage;
@@ -67,6 +68,11 @@
     }
 
     async fn announce(&self, address: SocketAddr, run: &str) {
+        let answer = self.try_announce(address, run).await;
+        answer.expect("the announcement is accepted");
+    }
+
+    async fn try_announce(&self, address: SocketAddr, run: &str) -> AnnounceAnswer {
         let announcement = ServerAnnouncement {
             run: Some(run.into()),
             server: announced_server(),
@@ -76,8 +82,7 @@
         let (reply, answer) = oneshot::channel();
         let message = GateMessage::Announce(announcement, reply);
         self.gate.send(message).expect("the gate runs");
-        let answer = answer.await.expect("an answer");
-        answer.expect("the announcement is accepted");
+        answer.await.expect("an answer")
     }
 
     /// Tells the gate that a health check found this run.
@@ -327,3 +332,27 @@
         assert_eq!(gate.crashes(), 1);
     });
 }
+
+// Guards against an announcement from before a drain that brings the server back after a
+// restart of its node, and against a server that can never announce itself again.
+#[test]
+fn a_drained_server_announces_itself_again_after_a_while() {
+    System::new().block_on(async {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        for (drained_ago_ms, accepted) in [(1_000, false), (6_000, true)] {
+            let mut gate = TestGate::spawn();
+            let departure = Departure {
+                node: "records-1".into(),
+                run: "run-1".into(),
+                started_ms: None,
+                at_ms: wall_clock::millis() - drained_ago_ms,
+            };
+            let departed = GateMessage::Departed(vec![departure]);
+            gate.gate.send(departed).expect("the gate runs");
+            let answer = gate.try_announce(address, "run-1").await;
+            assert_eq!(answer.is_ok(), accepted, "{drained_ago_ms}");
+            gate.announce(address, "run-2").await;
+            gate.wait_for(EndpointStanding::Serving).await;
+        }
+    });
+}
