--- a/crates/node/src/departure_keeper.rs
+++ b/crates/node/src/departure_keeper.rs
@@ -122,23 +122,23 @@
         });
     }
 
-    /// Keeps the departure of `run`. Returns true once it outlives this process, and
-    /// false if that takes too long; it is still being sent then.
+    /// Keeps the departure of `run`. Returns true once it outlives this process or
+    /// cannot be kept at all, and false if that takes too long; it is still being sent
+    /// then.
     pub async fn keep(&self, run: &ServerRun) -> bool {
         let mut state = self.begin(run);
         let done = state.wait_for(|state| *state != KeepState::Sent);
         let done = actix_rt::time::timeout(KEEP_TIME_MAX, done).await;
-        let in_time = matches!(&done, Ok(Ok(_)));
-        drop(done);
-        if !in_time {
-            warn!(
-                "event=departure-pending process=node instance={} run={} control={}",
-                self.node,
-                run.name,
-                *self.control.borrow()
-            );
+        if let Ok(Ok(_)) = done {
+            return true;
         }
-        in_time
+        warn!(
+            "event=departure-pending process=node instance={} run={} control={}",
+            self.node,
+            run.name,
+            *self.control.borrow()
+        );
+        false
     }
 
     /// Starts to send the departure, unless that has been started before.
