--- a/crates/node/src/departure_keeper.rs
+++ b/crates/node/src/departure_keeper.rs
@@ -145,12 +145,11 @@
     fn begin(&self, run: &ServerRun) -> watch::Receiver<KeepState> {
         let mut pending = self.pending.borrow_mut();
         // A run whose start is not known may depart again.
-        let is_known = |known: &&PendingDeparture| {
-            let repeats = run.started_ms.is_some() || !known.is_done();
-            known.run == *run && repeats
+        let is_same = |sent: &&PendingDeparture| {
+            sent.run == *run && (run.started_ms.is_some() || !sent.is_done())
         };
-        if let Some(known) = pending.iter().find(is_known) {
-            return known.state.clone();
+        if let Some(sent) = pending.iter().find(is_same) {
+            return sent.state.clone();
         }
         let (sender, state) = watch::channel(KeepState::Sent);
         pending.push_back(PendingDeparture {
--- a/crates/node/src/local_handler.rs
+++ b/crates/node/src/local_handler.rs
@@ -163,7 +163,8 @@
 }
 
 /// Drains the backend server, unless a move still needs it. `?anyway` skips that
-/// check.
+/// check. Answered with 503 while the server drains and a restart of this node would
+/// forget that.
 async fn drain(
     gate: &mpsc::UnboundedSender<GateMessage>,
     entry: &EntryProxy,
